Carry a request end to end through real processes

Change: settings, templates rendered with a team's parameters, a watch on the configuration service, route answers, a filter chain with streaming both ways, undici connections that live once, a trpc peer port, stand-ins and a small demo. Ruled out: handing the socket to undici's Client within its connect call; the request then waits for ever. It is handed over in a microtask. Conclusion: the path is thin but complete; scheduler, membership and configuration are first versions behind interfaces.

--- /dev/null
+++ b/src/bin/entry-daemon.ts
@@ -0,0 +1,163 @@
+import {Buffer} from 'node:buffer';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {err, ok, type Result} from 'neverthrow';
+import {DisposableStore} from '../common/disposable-store.js';
+import type {DisposableLike} from '../common/disposable-like.js';
+import type {EntrySettings} from '../common/entry-settings.js';
+import {ErrorKind} from '../common/error-kind.js';
+import type {Instance} from '../common/instance.js';
+import {RequestError} from '../common/request-error.js';
+import type {ServiceSpec} from '../common/service-spec.js';
+import {ConfigurationController} from '../controllers/configuration-controller.js';
+import {ConnectionController} from '../controllers/connection-controller.js';
+import {MembershipController} from '../controllers/membership-controller.js';
+import {RouteController} from '../controllers/route-controller.js';
+import {ScheduleController} from '../controllers/schedule-controller.js';
+import {AdmitFilter} from '../filters/admit-filter.js';
+import {AnswerFilter} from '../filters/answer-filter.js';
+import {ClassifyFilter} from '../filters/classify-filter.js';
+import {DeadlineFilter} from '../filters/deadline-filter.js';
+import {DispatchFilter} from '../filters/dispatch-filter.js';
+import {FilterChain} from '../filters/filter-chain.js';
+import {RequestContext} from '../filters/request-context.js';
+import {RetryFilter} from '../filters/retry-filter.js';
+import {DebugLogger} from '../io/debug-logger.js';
+import {HttpListener} from '../io/http-listener.js';
+import {PeerServer} from '../io/peer/peer-server.js';
+import {PlatformClient} from '../io/platform-client.js';
+import {systemClock} from '../io/system-clock.js';
+
+const createInstance = (settings: EntrySettings): Instance => ({
+	id: settings.instance.id,
+	host: settings.instance.host,
+	dataPort: settings.listeners.data.port,
+	routePort: settings.listeners.route.port,
+	peerPort: settings.listeners.peer.port,
+	operatorPort: settings.listeners.operator.port,
+	failureDomain: settings.instance.failureDomain,
+	region: settings.instance.region,
+	leaving: false,
+});
+
+const writeJson = (response: ServerResponse, status: number, value: unknown): void => {
+	const body = `${JSON.stringify(value)}\n`;
+	response.writeHead(status, {'content-type': 'application/json', 'content-length': Buffer.byteLength(body)});
+	response.end(body);
+};
+
+/** One entry instance: all listeners, controllers and filters, wired together. */
+export class EntryDaemon implements DisposableLike {
+	private readonly _store = new DisposableStore();
+	private readonly _logger: DebugLogger;
+	private readonly _members: MembershipController;
+	private readonly _configuration: ConfigurationController;
+	private readonly _routes: RouteController;
+	private readonly _chain: FilterChain;
+	private readonly _dataListener: HttpListener;
+	private readonly _routeListener: HttpListener;
+	private readonly _operatorListener: HttpListener;
+	private readonly _peerServer: PeerServer;
+
+	constructor(private readonly _settings: EntrySettings) {
+		this._logger = new DebugLogger(_settings.instance.id, 'entry');
+		this._members = this._store.add(new MembershipController(createInstance(_settings), Date.now()));
+		const platform = this._store.add(new PlatformClient(_settings.platform.urls[0] ?? ''));
+		this._configuration = this._store.add(new ConfigurationController({
+			platform, prefix: _settings.platform.prefix, waitMs: _settings.platform.waitMs, logger: this._logger,
+		}));
+		this._store.add(this._configuration.onInstanceList(list => {
+			this._members.acceptInstanceList(list);
+		}));
+		this._routes = new RouteController(this._configuration, this._members, _settings.routes.lifetimeMs);
+		this._chain = this._createChain();
+		this._dataListener = this._store.add(this._createDataListener());
+		this._routeListener = this._store.add(new HttpListener({}, (request, response) => {
+			this._answerRoute(request, response);
+		}));
+		this._operatorListener = this._store.add(new HttpListener({}, (_request, response) => {
+			writeJson(response, 200, this.describeStatus());
+		}));
+		this._peerServer = this._store.add(new PeerServer({describeSelf: () => this._members.self}));
+	}
+
+	/** Reads the configuration and opens the listeners; an error names the address that failed. */
+	async start(): Promise<Result<void, Error>> {
+		await this._configuration.start();
+		const {listeners} = this._settings;
+		const results = await Promise.all([
+			this._operatorListener.listen(listeners.operator),
+			this._peerServer.listener.listen(listeners.peer),
+			this._routeListener.listen(listeners.route),
+			this._dataListener.listen(listeners.data),
+		]);
+		const failed = results.find(result => result.isErr());
+		if (failed?.isErr()) {
+			return err(failed.error);
+		}
+
+		this._logger.logInfo('entry-started', {services: this._configuration.listServices().length, filters: this._chain.names});
+		return ok();
+	}
+
+	/** What this instance believes, for operators. */
+	describeStatus(): unknown {
+		return {
+			self: this._members.self,
+			members: this._members.listMembers(),
+			services: this._configuration.listServices().map(service => service.name),
+		};
+	}
+
+	dispose(): void {
+		this._store.dispose();
+	}
+
+	private _createChain(): FilterChain {
+		const {limits} = this._settings;
+		const connections = this._store.add(new ConnectionController({connectTimeoutMs: limits.connectTimeoutMs, clock: systemClock}));
+		const scheduler = this._store.add(new ScheduleController(systemClock));
+		const getConnectionLimit = (service: ServiceSpec) => Math.max(1, Math.floor(service.connectionsPerTarget / this._members.maxInstances));
+		return new FilterChain([
+			new AnswerFilter(),
+			new ClassifyFilter(this._configuration),
+			new DeadlineFilter(systemClock),
+			new RetryFilter(),
+			new AdmitFilter(scheduler),
+			new DispatchFilter({connections, clock: systemClock, getConnectionLimit}),
+		]);
+	}
+
+	private _createDataListener(): HttpListener {
+		const {limits} = this._settings;
+		const listener = new HttpListener({
+			maxHeaderSize: limits.headerBytes, headersTimeout: limits.headersTimeoutMs, requestTimeout: limits.requestTimeoutMs, noDelay: true, keepAliveTimeout: 60_000,
+		}, (request, response) => {
+			const context = new RequestContext(request, response, systemClock.now());
+			response.once('close', () => {
+				if (!response.writableFinished) {
+					context.abort(new RequestError(ErrorKind.CallerGone, 'the caller closed the connection'));
+				}
+			});
+			void this._chain.run(context);
+		});
+		listener.server.maxConnections = limits.callerConnections;
+		return listener;
+	}
+
+	private _answerRoute(request: IncomingMessage, response: ServerResponse): void {
+		const url = new URL(request.url ?? '/', 'http://localhost');
+		const [, root, service, ...rest] = url.pathname.split('/');
+		if (root !== 'routes' || service === undefined || rest.length > 0) {
+			writeJson(response, 404, {title: 'Not found', detail: 'ask GET /routes/<service>?domain=<failure domain>'});
+			return;
+		}
+
+		const answer = this._routes.answerRoute(service, url.searchParams.get('domain') ?? undefined);
+		if (answer === undefined) {
+			writeJson(response, 404, {title: 'No such service', detail: `no service is named "${service}"`});
+			return;
+		}
+
+		writeJson(response, 200, answer);
+	}
+}
--- /dev/null
+++ b/src/bin/rattansill-entry.ts
@@ -0,0 +1,49 @@
+#!/usr/bin/env node
+import process from 'node:process';
+import {Command, Option} from 'clipanion';
+import {entrySettingsSchema} from '../common/entry-settings-schema.js';
+import {ExitCode} from '../common/exit-code.js';
+import {DebugLogger} from '../io/debug-logger.js';
+import {readSettings} from '../io/read-settings.js';
+import {EntryDaemon} from './entry-daemon.js';
+import {runProgram} from './run-program.js';
+
+class EntryCommand extends Command {
+	static override paths = [Command.Default];
+	static override usage = Command.Usage({
+		description: 'Runs one entry instance until it is told to stop',
+		details: 'Exit codes: 0 after a planned stop, 2 for wrong settings, 3 when a listener cannot be opened.',
+		examples: [['Run with a settings file', '$0 --settings entry.json']],
+	});
+
+	readonly settings = Option.String('--settings', {required: true, description: 'JSON settings file'});
+
+	override async execute(): Promise<number> {
+		const settings = readSettings(this.settings, entrySettingsSchema);
+		if (settings.isErr()) {
+			for (const error of settings.error) {
+				this.context.stderr.write(`${this.settings}: ${error.field}: ${error.value}: ${error.message}\n`);
+			}
+
+			return ExitCode.Usage;
+		}
+
+		DebugLogger.enableNamespaces(settings.value.log.namespaces);
+		const daemon = new EntryDaemon(settings.value);
+		const started = await daemon.start();
+		if (started.isErr()) {
+			this.context.stderr.write(`${started.error.message}\n`);
+			daemon.dispose();
+			return ExitCode.Unavailable;
+		}
+
+		await new Promise<void>(resolve => {
+			process.once('SIGTERM', resolve);
+			process.once('SIGINT', resolve);
+		});
+		daemon.dispose();
+		return ExitCode.Success;
+	}
+}
+
+await runProgram('rattansill-entry', [EntryCommand]);
--- /dev/null
+++ b/src/common/clock.ts
@@ -0,0 +1,4 @@
+/** Monotonic time source in milliseconds, with fractions; its zero is arbitrary. */
+export type Clock = {
+	now(): number;
+};
--- /dev/null
+++ b/src/common/convert-zod-error.ts
@@ -0,0 +1,41 @@
+import type {z} from 'zod';
+import type {FieldError} from './field-error.js';
+
+const maxValueCharacters = 80;
+
+const formatPath = (path: readonly PropertyKey[]): string => {
+	let text = '';
+	for (const part of path) {
+		text += typeof part === 'number' ? `[${part}]` : (text === '' ? String(part) : `.${String(part)}`);
+	}
+
+	return text === '' ? '(root)' : text;
+};
+
+const readPath = (input: unknown, path: readonly PropertyKey[]): unknown => {
+	let value = input;
+	for (const part of path) {
+		if (typeof value !== 'object' || value === null) {
+			return undefined;
+		}
+
+		value = (value as Record<PropertyKey, unknown>)[part];
+	}
+
+	return value;
+};
+
+const formatValue = (value: unknown): string => {
+	const text = value === undefined ? 'missing' : (JSON.stringify(value) ?? typeof value);
+	return text.length > maxValueCharacters ? `${text.slice(0, maxValueCharacters)}…` : text;
+};
+
+/** Turns a schema failure into field errors that name field, value and what is allowed. */
+export const convertZodError = (error: z.ZodError, input: unknown): FieldError[] => error.issues.map(issue => {
+	if (issue.code === 'unrecognized_keys') {
+		const path = [...issue.path, issue.keys[0] ?? ''];
+		return {field: formatPath(path), value: formatValue(readPath(input, path)), message: 'no such field'};
+	}
+
+	return {field: formatPath(issue.path), value: formatValue(readPath(input, issue.path)), message: issue.message};
+});
--- /dev/null
+++ b/src/common/disposable-store.ts
@@ -0,0 +1,25 @@
+import type {DisposableLike} from './disposable-like.js';
+
+/** Owns disposables and disposes them together, last registered first. */
+export class DisposableStore implements DisposableLike {
+	private readonly _items: DisposableLike[] = [];
+	private _isDisposed = false;
+
+	/** Takes ownership of an item; an item added after disposal is disposed at once. */
+	add<T extends DisposableLike>(item: T): T {
+		if (this._isDisposed) {
+			item.dispose();
+		} else {
+			this._items.push(item);
+		}
+
+		return item;
+	}
+
+	dispose(): void {
+		this._isDisposed = true;
+		for (let item = this._items.pop(); item !== undefined; item = this._items.pop()) {
+			item.dispose();
+		}
+	}
+}
--- /dev/null
+++ b/src/common/entry-settings-schema.ts
@@ -0,0 +1,77 @@
+import {z} from 'zod';
+
+const port = z.int().min(0).max(65_535);
+const listener = (defaultPort: number) => z.strictObject({
+	/** IP number to listen on. */
+	host: z.string().min(1).default('127.0.0.1'),
+	/** TCP port; 0 lets the system choose one. */
+	port: port.default(defaultPort),
+}).prefault({});
+
+/** Schema of the settings of `rattansill-entry`; docs/SETTINGS.md explains each key. */
+export const entrySettingsSchema = z.strictObject({
+	instance: z.strictObject({
+		/** Name, unique within the fleet. */
+		id: z.string().min(1).max(128),
+		/** IP number under which callers and peers reach this instance. */
+		host: z.string().min(1).default('127.0.0.1'),
+		failureDomain: z.string().min(1).max(128),
+		region: z.string().min(1).max(128).default('default'),
+	}),
+	listeners: z.strictObject({
+		data: listener(7100),
+		route: listener(7101),
+		peer: listener(7102),
+		operator: listener(7103),
+	}).prefault({}),
+	platform: z.strictObject({
+		/** Base URLs of the configuration service, in order of preference. */
+		urls: z.array(z.url({protocol: /^https?$/v})).min(1),
+		/** Key prefix below which the operators publish. */
+		prefix: z.string().min(1).default('rattansill'),
+		/** Longest time for which one watch waits, in ms. */
+		waitMs: z.int().min(100).max(600_000).default(30_000),
+	}),
+	limits: z.strictObject({
+		/** Request headers, in bytes. */
+		headerBytes: z.int().min(1024).max(1_048_576).default(16_384),
+		/** Request body, in bytes. */
+		bodyBytes: z.int().min(0).max(1_073_741_824).default(16_777_216),
+		/** Bytes of a request body that are held so that it can be sent again. */
+		heldBodyBytes: z.int().min(0).max(16_777_216).default(65_536),
+		/** Time for the headers of a request to arrive, in ms. */
+		headersTimeoutMs: z.int().min(100).max(600_000).default(10_000),
+		/** Time for a whole request to arrive, in ms. */
+		requestTimeoutMs: z.int().min(100).max(3_600_000).default(60_000),
+		/** Connections that callers may hold. */
+		callerConnections: z.int().min(1).max(1_000_000).default(10_000),
+		/** Time to open a connection to a target, in ms. */
+		connectTimeoutMs: z.int().min(1).max(60_000).default(1000),
+	}).prefault({}),
+	log: z.strictObject({
+		/** Namespaces to print, in the syntax of the `debug` library. */
+		namespaces: z.string().default('rattansill:*:error,rattansill:*:info'),
+	}).prefault({}),
+	metrics: z.strictObject({
+		enabled: z.boolean().default(false),
+		host: z.string().min(1).default('127.0.0.1'),
+		port: port.default(8125),
+		/** Prefix of every metric. */
+		prefix: z.string().default('rattansill.'),
+	}).prefault({}),
+	tracing: z.strictObject({
+		enabled: z.boolean().default(false),
+		/** OTLP/HTTP endpoint for traces. */
+		url: z.url().default('http://127.0.0.1:4318/v1/traces'),
+		/** Share of requests without a sampling decision of the caller that are traced. */
+		sampleRatio: z.number().min(0).max(1).default(0.01),
+	}).prefault({}),
+	routes: z.strictObject({
+		/** Time for which callers may use a route answer, in ms. */
+		lifetimeMs: z.int().min(100).max(600_000).default(2000),
+	}).prefault({}),
+	shutdown: z.strictObject({
+		/** Longest time from the signal to the exit, in ms. */
+		limitMs: z.int().min(0).max(3_600_000).default(30_000),
+	}).prefault({}),
+});
--- /dev/null
+++ b/src/common/header-names.ts
@@ -0,0 +1,13 @@
+/** Names of the HTTP headers that the system reads or writes, in lower case. */
+export enum HeaderName {
+	/** Time that the caller still waits, in ms. */
+	Timeout = 'x-request-timeout-ms',
+	/** Outcome of a request that the system itself answered. */
+	Outcome = 'rattansill-outcome',
+	/** Key by which a caller marks resends of one request. */
+	IdempotencyKey = 'idempotency-key',
+	/** W3C trace context. */
+	TraceParent = 'traceparent',
+	/** Load report that rides on an answer, in the text format of ORCA. */
+	LoadReport = 'endpoint-load-metrics',
+}
--- /dev/null
+++ b/src/common/metrics.ts
@@ -0,0 +1,10 @@
+/** Metric tags. */
+type Tags = Readonly<Record<string, string>>;
+
+/** Sends metrics; never blocks and never fails. */
+export type Metrics = {
+	countEvent(name: string, tags?: Tags, amount?: number): void;
+	recordGauge(name: string, value: number, tags?: Tags): void;
+	/** Duration in ms. */
+	recordDuration(name: string, durationMs: number, tags?: Tags): void;
+};
--- /dev/null
+++ b/src/common/request-class.ts
@@ -0,0 +1,6 @@
+/** How urgently a request is served. */
+export enum RequestClass {
+	Interactive = 'interactive',
+	Booking = 'booking',
+	Deferrable = 'deferrable',
+}
--- /dev/null
+++ b/src/controllers/membership-controller.ts
@@ -0,0 +1,59 @@
+import type {DisposableLike} from '../common/disposable-like.js';
+import {Emitter} from '../common/emitter.js';
+import type {InstanceList} from '../common/instance-list.js';
+import type {Instance} from '../common/instance.js';
+import type {MemberDirectory} from '../common/member-directory.js';
+import {MemberState} from '../common/member-state.js';
+import type {Member} from '../common/member.js';
+
+/** Keeps what this instance believes of the entry instances. */
+export class MembershipController implements MemberDirectory, DisposableLike {
+	private readonly _members = new Map<string, Member>();
+	private readonly _onMembersChanged = new Emitter<readonly Member[]>();
+	private _self: Member;
+	private _maxInstances = 1;
+
+	constructor(self: Instance, incarnation: number) {
+		this._self = {instance: self, incarnation, state: MemberState.Alive};
+		this._members.set(self.id, this._self);
+	}
+
+	get onMembersChanged() {
+		return this._onMembersChanged.event;
+	}
+
+	get self(): Member {
+		return this._self;
+	}
+
+	get maxInstances(): number {
+		return Math.max(this._maxInstances, this._members.size);
+	}
+
+	listMembers(): readonly Member[] {
+		return [...this._members.values()].filter(member => member.state !== MemberState.Dead);
+	}
+
+	/** Takes a newer instance list of the platform. */
+	acceptInstanceList(list: InstanceList): void {
+		this._maxInstances = list.maxInstances;
+		this._members.clear();
+		for (const instance of list.instances) {
+			this._members.set(instance.id, {instance, incarnation: 0, state: instance.leaving ? MemberState.Leaving : MemberState.Alive});
+		}
+
+		this._members.set(this._self.instance.id, this._self);
+		this._onMembersChanged.fire(this.listMembers());
+	}
+
+	/** Marks this instance as leaving. */
+	markLeaving(): void {
+		this._self = {...this._self, state: MemberState.Leaving};
+		this._members.set(this._self.instance.id, this._self);
+		this._onMembersChanged.fire(this.listMembers());
+	}
+
+	dispose(): void {
+		this._onMembersChanged.dispose();
+	}
+}
--- /dev/null
+++ b/src/filters/admit-filter.ts
@@ -0,0 +1,42 @@
+import {err, type Result} from 'neverthrow';
+import {ErrorKind} from '../common/error-kind.js';
+import {RequestError} from '../common/request-error.js';
+import type {SlotScheduler} from '../common/slot-scheduler.js';
+import type {TargetAnswer} from '../io/target-answer.js';
+import type {Filter} from './filter.js';
+import type {RequestContext} from './request-context.js';
+
+/** Holds the request until the scheduler gives it a slot at a target. */
+export class AdmitFilter implements Filter {
+	constructor(private readonly _scheduler: SlotScheduler) {}
+
+	get name(): string {
+		return 'admit';
+	}
+
+	async handleRequest(context: RequestContext, next: () => Promise<Result<TargetAnswer, RequestError>>): Promise<Result<TargetAnswer, RequestError>> {
+		const {service, rule} = context;
+		if (service === undefined || rule === undefined) {
+			return err(new RequestError(ErrorKind.InternalQueued, 'the request was not classified'));
+		}
+
+		const acquired = await this._scheduler.acquireSlot({
+			service,
+			rule: rule.name,
+			requestClass: rule.class,
+			size: rule.size,
+			idempotent: rule.idempotent,
+			deadlineAt: context.deadlineAt,
+			heldBytes: 0,
+			attempt: context.attempt,
+			excludedTargets: context.excludedTargets,
+			signal: context.signal,
+		});
+		if (acquired.isErr()) {
+			return err(acquired.error);
+		}
+
+		context.lease = acquired.value;
+		return next();
+	}
+}
--- /dev/null
+++ b/src/filters/deadline-filter.ts
@@ -0,0 +1,37 @@
+import {err, type Result} from 'neverthrow';
+import type {Clock} from '../common/clock.js';
+import {ErrorKind} from '../common/error-kind.js';
+import {HeaderName} from '../common/header-names.js';
+import {RequestError} from '../common/request-error.js';
+import type {TargetAnswer} from '../io/target-answer.js';
+import {computeDeadline} from '../policy/compute-deadline.js';
+import type {Filter} from './filter.js';
+import type {RequestContext} from './request-context.js';
+
+/** Sets the deadline and ends the request when it expires. */
+export class DeadlineFilter implements Filter {
+	constructor(private readonly _clock: Clock) {}
+
+	get name(): string {
+		return 'deadline';
+	}
+
+	async handleRequest(context: RequestContext, next: () => Promise<Result<TargetAnswer, RequestError>>): Promise<Result<TargetAnswer, RequestError>> {
+		const {request, response} = context;
+		const header = request.headers[HeaderName.Timeout];
+		const allowanceMs = computeDeadline(context.rule?.deadlineMs ?? 0, Array.isArray(header) ? header[0] : header);
+		if (allowanceMs === undefined) {
+			return err(new RequestError(ErrorKind.MalformedRequest, `header ${HeaderName.Timeout}: "${String(header)}" is not a whole number of ms`));
+		}
+
+		context.deadlineAt = context.receivedAt + allowanceMs;
+		const timer = setTimeout(() => {
+			const kind = context.isDispatched ? ErrorKind.DeadlineExpiredDispatched : ErrorKind.DeadlineExpiredQueued;
+			context.abort(new RequestError(kind, `no whole answer within ${allowanceMs} ms`));
+		}, context.deadlineAt - this._clock.now());
+		response.once('close', () => {
+			clearTimeout(timer);
+		});
+		return next();
+	}
+}
--- /dev/null
+++ b/src/filters/strip-hop-headers.ts
@@ -0,0 +1,31 @@
+/** Headers that concern one connection only (RFC 9110, section 7.6.1), and those that this hop writes itself. */
+const hopHeaders = new Set(['connection', 'keep-alive', 'proxy-connection', 'transfer-encoding', 'te', 'trailer', 'upgrade', 'proxy-authenticate', 'proxy-authorization', 'expect']);
+
+const findConnectionOptions = (rawHeaders: readonly string[]): Set<string> | undefined => {
+	for (let index = 0; index < rawHeaders.length; index += 2) {
+		if (rawHeaders[index]?.toLowerCase() === 'connection') {
+			return new Set((rawHeaders[index + 1] ?? '').split(',').map(option => option.trim().toLowerCase()));
+		}
+	}
+
+	return undefined;
+};
+
+/**
+Copies headers without those that concern one connection only.
+@param rawHeaders - Names and values in turn.
+@param omitted - Further names to leave out, in lower case.
+*/
+export const stripHopHeaders = (rawHeaders: readonly string[], omitted: readonly string[] = []): string[] => {
+	const options = findConnectionOptions(rawHeaders);
+	const kept: string[] = [];
+	for (let index = 0; index < rawHeaders.length; index += 2) {
+		const name = rawHeaders[index] ?? '';
+		const lower = name.toLowerCase();
+		if (!hopHeaders.has(lower) && !omitted.includes(lower) && !(options?.has(lower) ?? false)) {
+			kept.push(name, rawHeaders[index + 1] ?? '');
+		}
+	}
+
+	return kept;
+};
--- /dev/null
+++ b/src/io/answer-body.ts
@@ -0,0 +1,110 @@
+import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
+import type {Writable} from 'node:stream';
+import {err, ok, type Result} from 'neverthrow';
+
+/** Flow control of the connection that an answer arrives on. */
+type Flow = {
+	pause(): void;
+	resume(): void;
+	abort(reason: Error): void;
+};
+
+/** Bytes of an answer that are held before its receiver is known. */
+const holdLimitBytes = 65_536;
+
+/** The body of a target's answer as it arrives, with back-pressure towards the target. */
+export class AnswerBody {
+	private readonly _held: Uint8Array[] = [];
+	private _heldBytes = 0;
+	private _sink: Writable | undefined;
+	private _isEnded = false;
+	private _error: Error | undefined;
+	private _settle: ((result: Result<void, Error>) => void) | undefined;
+
+	constructor(private readonly _flow: Flow) {}
+
+	/** True when every byte has arrived. */
+	get isWhole(): boolean {
+		return this._isEnded;
+	}
+
+	/** Takes a chunk from the connection. */
+	push(chunk: Uint8Array): void {
+		if (this._sink !== undefined) {
+			this._write(this._sink, chunk);
+			return;
+		}
+
+		this._held.push(chunk);
+		this._heldBytes += chunk.length;
+		if (this._heldBytes >= holdLimitBytes) {
+			this._flow.pause();
+		}
+	}
+
+	/** Marks the body whole. */
+	end(): void {
+		this._isEnded = true;
+		if (this._sink !== undefined) {
+			this._sink.end();
+			this._settle?.(ok());
+		}
+	}
+
+	/** Marks the body cut; the sink is destroyed, so that its reader sees that the answer is not whole. */
+	fail(error: Error): void {
+		this._error = error;
+		if (this._sink !== undefined) {
+			this._sink.destroy();
+			this._settle?.(err(error));
+		}
+	}
+
+	/** Writes the body to a sink and ends it; an error means that the answer was cut. */
+	async pipeTo(sink: Writable): Promise<Result<void, Error>> {
+		if (this._error !== undefined) {
+			sink.destroy();
+			return err(this._error);
+		}
+
+		if (this._isEnded) {
+			sink.end(this._held.length === 1 ? this._held[0] : Buffer.concat(this._held));
+			return ok();
+		}
+
+		this._sink = sink;
+		const settled = new Promise<Result<void, Error>>(resolve => {
+			this._settle = resolve;
+		});
+		for (const chunk of this._held.splice(0)) {
+			this._write(sink, chunk);
+		}
+
+		this._flow.resume();
+		return settled;
+	}
+
+	/** Reads the rest of the body and drops it. */
+	discard(): void {
+		this._held.length = 0;
+		this._heldBytes = Number.NEGATIVE_INFINITY;
+		this._flow.resume();
+	}
+
+	private _write(sink: Writable, chunk: Uint8Array): void {
+		if (!sink.write(chunk)) {
+			this._flow.pause();
+			void this._resumeAfterDrain(sink);
+		}
+	}
+
+	private async _resumeAfterDrain(sink: Writable): Promise<void> {
+		try {
+			await once(sink, 'drain');
+			this._flow.resume();
+		} catch (error) {
+			this._flow.abort(error as Error);
+		}
+	}
+}
--- /dev/null
+++ b/src/io/debug-logger.ts
@@ -0,0 +1,62 @@
+import process from 'node:process';
+import {format} from 'node:util';
+import createDebug, {type Debugger} from 'debug';
+import type {Logger} from '../common/logger.js';
+
+type Fields = Readonly<Record<string, unknown>>;
+
+const describeField = (_key: string, value: unknown): unknown => value instanceof Error ? value.message : value;
+
+/**
+Writes events as JSON lines to standard error through the `debug` library.
+Each event goes to the namespace `rattansill:<component>:<level>`, which the settings switch on or off.
+*/
+export class DebugLogger implements Logger {
+	/** Selects the namespaces that are printed, for the whole process. */
+	static enableNamespaces(namespaces: string): void {
+		createDebug.formatArgs = () => undefined;
+		createDebug.log = (...parts: unknown[]) => {
+			process.stderr.write(`${format(...parts)}\n`);
+		};
+
+		createDebug.enable(namespaces);
+	}
+
+	private readonly _error: Debugger;
+	private readonly _info: Debugger;
+	private readonly _debug: Debugger;
+
+	/**
+	@param _instanceId - Written on each line as `instance`.
+	@param _component - Written on each line as `component`.
+	*/
+	constructor(private readonly _instanceId: string, private readonly _component: string) {
+		this._error = createDebug(`rattansill:${_component}:error`);
+		this._info = createDebug(`rattansill:${_component}:info`);
+		this._debug = createDebug(`rattansill:${_component}:debug`);
+	}
+
+	logError(event: string, fields: Fields = {}): void {
+		this._write(this._error, 'error', event, fields);
+	}
+
+	logInfo(event: string, fields: Fields = {}): void {
+		this._write(this._info, 'info', event, fields);
+	}
+
+	logDebug(event: string, fields: Fields = {}): void {
+		this._write(this._debug, 'debug', event, fields);
+	}
+
+	private _write(sink: Debugger, level: string, event: string, fields: Fields): void {
+		if (!sink.enabled) {
+			return;
+		}
+
+		const line = {
+			time: new Date().toISOString(), level, instance: this._instanceId, component: this._component, event, ...fields,
+		};
+		// The '%' of a value must not be taken for a format of the debug library.
+		sink('%s', JSON.stringify(line, describeField));
+	}
+}
--- /dev/null
+++ b/src/io/peer/create-peer-router.ts
@@ -0,0 +1,8 @@
+import {peerTrpc} from './peer-trpc.js';
+import type {PeerHandlers} from './peer-handlers.js';
+
+/** Builds the router of the peer port. */
+export const createPeerRouter = (handlers: PeerHandlers) => peerTrpc.router({
+	/** Says who answers here. */
+	hello: peerTrpc.procedure.query(() => handlers.describeSelf()),
+});
--- /dev/null
+++ b/src/io/peer/peer-handlers.ts
@@ -0,0 +1,7 @@
+import type {Member} from '../../common/member.js';
+
+/** What the controllers offer to peers; each controller adds its own part. */
+export type PeerHandlers = {
+	/** Answers who this instance is. */
+	readonly describeSelf: () => Member;
+};
--- /dev/null
+++ b/src/io/peer/peer-server.ts
@@ -0,0 +1,39 @@
+import {applyWSSHandler} from '@trpc/server/adapters/ws';
+import {WebSocketServer} from 'ws';
+import type {DisposableLike} from '../../common/disposable-like.js';
+import {HttpListener} from '../http-listener.js';
+import {createPeerRouter} from './create-peer-router.js';
+import type {PeerHandlers} from './peer-handlers.js';
+
+const maxMessageBytes = 4_194_304;
+
+/** Serves the procedures of the peer port over WebSocket. */
+export class PeerServer implements DisposableLike {
+	readonly listener = new HttpListener({}, (_request, response) => {
+		response.writeHead(426).end();
+	});
+
+	private readonly _sockets: WebSocketServer;
+	private readonly _handler: ReturnType<typeof applyWSSHandler>;
+
+	constructor(handlers: PeerHandlers) {
+		this._sockets = new WebSocketServer({server: this.listener.server, maxPayload: maxMessageBytes, perMessageDeflate: false});
+		// The server's own listener reports the failure to listen; without this one the process would end.
+		this._sockets.on('error', () => undefined);
+		this._handler = applyWSSHandler({
+			wss: this._sockets,
+			router: createPeerRouter(handlers),
+			createContext: ({info}) => ({callerId: String(info.connectionParams?.instanceId ?? '')}),
+		});
+	}
+
+	dispose(): void {
+		this._handler.broadcastReconnectNotification();
+		this._sockets.close();
+		for (const client of this._sockets.clients) {
+			client.terminate();
+		}
+
+		this.listener.dispose();
+	}
+}
--- /dev/null
+++ b/tools/site/site-name.ts
@@ -0,0 +1,5 @@
+/** The sites of the brief. */
+export enum SiteName {
+	Wigroom = 'wigroom',
+	Urdaneta = 'urdaneta',
+}
