Give each try a context of its own and keep one client a peer

Cause: hedges run two tries at once, and the peers of three lanes need the same clients; both had no place. Change: RequestContext.createAttempt, NextFilter takes the context, an answer's body tells when it settled, PeerController. Before: lease and connection were released at the close of the caller's response. After: at the end of the answer's body.

--- a/src/bin/entry-daemon.ts
+++ b/src/bin/entry-daemon.ts
@@ -11,6 +11,7 @@
 import {ConfigurationController} from '../controllers/configuration-controller.js';
 import {ConnectionController} from '../controllers/connection-controller.js';
 import {MembershipController} from '../controllers/membership-controller.js';
+import {PeerController} from '../controllers/peer-controller.js';
 import {RouteController} from '../controllers/route-controller.js';
 import {ScheduleController} from '../controllers/schedule-controller.js';
 import {AdmitFilter} from '../filters/admit-filter.js';
@@ -68,6 +69,7 @@
 		this._store.add(this._configuration.onInstanceList(list => {
 			this._members.acceptInstanceList(list);
 		}));
+		this._store.add(new PeerController(this._members));
 		this._routes = new RouteController(this._configuration, this._members, _settings.routes.lifetimeMs);
 		this._chain = this._createChain();
 		this._dataListener = this._store.add(this._createDataListener());
--- a/src/filters/admit-filter.ts
+++ b/src/filters/admit-filter.ts
@@ -1,9 +1,10 @@
-import {err, type Result} from 'neverthrow';
+import {err} from 'neverthrow';
 import {ErrorKind} from '../common/error-kind.js';
 import {RequestError} from '../common/request-error.js';
 import type {SlotScheduler} from '../common/slot-scheduler.js';
-import type {TargetAnswer} from '../io/target-answer.js';
+import type {FilterResult} from './filter-result.js';
 import type {Filter} from './filter.js';
+import type {NextFilter} from './next-filter.js';
 import type {RequestContext} from './request-context.js';
 
 /** Holds the request until the scheduler gives it a slot at a target. */
@@ -14,7 +15,7 @@
 		return 'admit';
 	}
 
-	async handleRequest(context: RequestContext, next: () => Promise<Result<TargetAnswer, RequestError>>): Promise<Result<TargetAnswer, RequestError>> {
+	async handleRequest(context: RequestContext, next: NextFilter): FilterResult {
 		const {service, rule} = context;
 		if (service === undefined || rule === undefined) {
 			return err(new RequestError(ErrorKind.InternalQueued, 'the request was not classified'));
@@ -37,6 +38,6 @@
 		}
 
 		context.lease = acquired.value;
-		return next();
+		return next(context);
 	}
 }
--- a/src/filters/answer-filter.ts
+++ b/src/filters/answer-filter.ts
@@ -1,11 +1,11 @@
 import {Buffer} from 'node:buffer';
 import {STATUS_CODES, type OutgoingHttpHeaders, type ServerResponse} from 'node:http';
-import type {Result} from 'neverthrow';
 import {errorAnswers} from '../common/error-answers.js';
-import {HeaderName} from '../common/header-names.js';
 import type {RequestError} from '../common/request-error.js';
-import type {TargetAnswer} from '../io/target-answer.js';
+import {HeaderName} from '../common/header-names.js';
+import type {FilterResult} from './filter-result.js';
 import type {Filter} from './filter.js';
+import type {NextFilter} from './next-filter.js';
 import type {RequestContext} from './request-context.js';
 import {stripHopHeaders} from './strip-hop-headers.js';
 
@@ -39,8 +39,8 @@
 		return 'answer';
 	}
 
-	async handleRequest(context: RequestContext, next: () => Promise<Result<TargetAnswer, RequestError>>): Promise<Result<TargetAnswer, RequestError>> {
-		const result = await next();
+	async handleRequest(context: RequestContext, next: NextFilter): FilterResult {
+		const result = await next(context);
 		const {response} = context;
 		if (result.isErr()) {
 			writeError(response, result.error);
--- a/src/filters/classify-filter.ts
+++ b/src/filters/classify-filter.ts
@@ -1,10 +1,11 @@
-import {err, type Result} from 'neverthrow';
+import {err} from 'neverthrow';
 import {ErrorKind} from '../common/error-kind.js';
 import {RequestError} from '../common/request-error.js';
 import type {ServiceCatalog} from '../common/service-catalog.js';
 import {findRule} from '../policy/find-rule.js';
-import type {TargetAnswer} from '../io/target-answer.js';
+import type {FilterResult} from './filter-result.js';
 import type {Filter} from './filter.js';
+import type {NextFilter} from './next-filter.js';
 import type {RequestContext} from './request-context.js';
 
 /** Finds the service by the Host header and the rule by method and path. */
@@ -15,7 +16,7 @@
 		return 'classify';
 	}
 
-	async handleRequest(context: RequestContext, next: () => Promise<Result<TargetAnswer, RequestError>>): Promise<Result<TargetAnswer, RequestError>> {
+	async handleRequest(context: RequestContext, next: NextFilter): FilterResult {
 		const {request} = context;
 		const host = request.headers.host ?? '';
 		const name = host.split(':', 1)[0] ?? '';
@@ -31,6 +32,6 @@
 
 		context.service = service;
 		context.rule = rule;
-		return next();
+		return next(context);
 	}
 }
--- a/src/filters/deadline-filter.ts
+++ b/src/filters/deadline-filter.ts
@@ -1,11 +1,12 @@
-import {err, type Result} from 'neverthrow';
+import {err} from 'neverthrow';
 import type {Clock} from '../common/clock.js';
 import {ErrorKind} from '../common/error-kind.js';
 import {HeaderName} from '../common/header-names.js';
 import {RequestError} from '../common/request-error.js';
-import type {TargetAnswer} from '../io/target-answer.js';
 import {computeDeadline} from '../policy/compute-deadline.js';
+import type {FilterResult} from './filter-result.js';
 import type {Filter} from './filter.js';
+import type {NextFilter} from './next-filter.js';
 import type {RequestContext} from './request-context.js';
 
 /** Sets the deadline and ends the request when it expires. */
@@ -16,7 +17,7 @@
 		return 'deadline';
 	}
 
-	async handleRequest(context: RequestContext, next: () => Promise<Result<TargetAnswer, RequestError>>): Promise<Result<TargetAnswer, RequestError>> {
+	async handleRequest(context: RequestContext, next: NextFilter): FilterResult {
 		const {request, response} = context;
 		const header = request.headers[HeaderName.Timeout];
 		const allowanceMs = computeDeadline(context.rule?.deadlineMs ?? 0, Array.isArray(header) ? header[0] : header);
@@ -32,6 +33,6 @@
 		response.once('close', () => {
 			clearTimeout(timer);
 		});
-		return next();
+		return next(context);
 	}
 }
--- a/src/filters/dispatch-filter.ts
+++ b/src/filters/dispatch-filter.ts
@@ -1,4 +1,4 @@
-import {err, ok, type Result} from 'neverthrow';
+import {err, ok} from 'neverthrow';
 import type {Clock} from '../common/clock.js';
 import {ErrorKind} from '../common/error-kind.js';
 import {ExchangeEnd} from '../common/exchange-end.js';
@@ -8,6 +8,7 @@
 import type {ConnectionController} from '../controllers/connection-controller.js';
 import type {ExchangeFailure} from '../io/exchange-failure.js';
 import type {TargetAnswer} from '../io/target-answer.js';
+import type {FilterResult} from './filter-result.js';
 import type {Filter} from './filter.js';
 import type {RequestContext} from './request-context.js';
 import {stripHopHeaders} from './strip-hop-headers.js';
@@ -30,7 +31,7 @@
 		return 'dispatch';
 	}
 
-	async handleRequest(context: RequestContext): Promise<Result<TargetAnswer, RequestError>> {
+	async handleRequest(context: RequestContext): FilterResult {
 		const {lease, service, rule} = context;
 		if (lease === undefined || service === undefined || rule === undefined) {
 			return err(new RequestError(ErrorKind.InternalQueued, 'the request has no slot'));
@@ -70,15 +71,22 @@
 			return err(new RequestError(ErrorKind.TargetRefused, `target ${target.id} answered ${answer.status} as not run`));
 		}
 
-		context.response.once('close', () => {
-			if (answer.body.isWhole) {
+		const settle = (isWhole: boolean) => {
+			if (isWhole) {
 				this._options.connections.releaseConnection(target, connection);
 			} else {
 				connection.dispose();
 			}
 
-			lease.release(answer.body.isWhole ? ExchangeEnd.Answered : ExchangeEnd.Lost);
-		});
+			lease.release(isWhole ? ExchangeEnd.Answered : ExchangeEnd.Lost);
+		};
+
+		if (answer.body.isWhole) {
+			settle(true);
+		} else {
+			answer.body.onSettled(settle);
+		}
+
 		return ok(answer);
 	}
 
--- a/src/filters/filter-chain.ts
+++ b/src/filters/filter-chain.ts
@@ -1,7 +1,7 @@
-import {err, type Result} from 'neverthrow';
+import {err} from 'neverthrow';
 import {ErrorKind} from '../common/error-kind.js';
 import {RequestError} from '../common/request-error.js';
-import type {TargetAnswer} from '../io/target-answer.js';
+import type {FilterResult} from './filter-result.js';
 import type {Filter} from './filter.js';
 import type {RequestContext} from './request-context.js';
 
@@ -14,7 +14,7 @@
 		return this._filters.map(filter => filter.name);
 	}
 
-	async run(context: RequestContext): Promise<Result<TargetAnswer, RequestError>> {
+	async run(context: RequestContext): FilterResult {
 		try {
 			return await this._runFrom(0, context);
 		} catch (error) {
@@ -23,12 +23,12 @@
 		}
 	}
 
-	private async _runFrom(index: number, context: RequestContext): Promise<Result<TargetAnswer, RequestError>> {
+	private async _runFrom(index: number, context: RequestContext): FilterResult {
 		const filter = this._filters[index];
 		if (filter === undefined) {
 			return err(new RequestError(ErrorKind.InternalQueued, 'the filter chain ended without an answer'));
 		}
 
-		return filter.handleRequest(context, async () => this._runFrom(index + 1, context));
+		return filter.handleRequest(context, async nextContext => this._runFrom(index + 1, nextContext));
 	}
 }
--- a/src/filters/filter.ts
+++ b/src/filters/filter.ts
@@ -1,6 +1,5 @@
-import type {Result} from 'neverthrow';
-import type {RequestError} from '../common/request-error.js';
-import type {TargetAnswer} from '../io/target-answer.js';
+import type {FilterResult} from './filter-result.js';
+import type {NextFilter} from './next-filter.js';
 import type {RequestContext} from './request-context.js';
 
 /** One step of the chain that every request passes. */
@@ -8,5 +7,5 @@
 	/** Name for traces and documents. */
 	readonly name: string;
 	/** Handles the request, calling `next` for the rest of the chain as often as it needs. */
-	handleRequest(context: RequestContext, next: () => Promise<Result<TargetAnswer, RequestError>>): Promise<Result<TargetAnswer, RequestError>>;
+	handleRequest(context: RequestContext, next: NextFilter): FilterResult;
 };
--- a/src/filters/request-context.ts
+++ b/src/filters/request-context.ts
@@ -4,7 +4,7 @@
 import type {ServiceSpec} from '../common/service-spec.js';
 import type {SlotLease} from '../common/slot-lease.js';
 
-/** What the filters know of one request; each filter fills in its own fields. */
+/** What the filters know of one request, or of one try of it; each filter fills in its own fields. */
 export class RequestContext {
 	/** Set by the classify filter. */
 	service: ServiceSpec | undefined;
@@ -12,15 +12,15 @@
 	rule: RequestRule | undefined;
 	/** Set by the deadline filter: time by which the answer must be whole, on the instance's clock, in ms. */
 	deadlineAt = Number.POSITIVE_INFINITY;
-	/** Set by the retry filter: number of the try, first is 0. */
+	/** Number of the try, first is 0. */
 	attempt = 0;
-	/** Set by the retry filter: targets not to use again. */
-	readonly excludedTargets: string[] = [];
+	/** Targets not to use again for this request; shared by all its tries. */
+	excludedTargets: string[] = [];
 	/** Set by the admit filter. */
 	lease: SlotLease | undefined;
-	/** True once a byte of the request may have reached a target. */
-	isDispatched = false;
 	private readonly _abort = new AbortController();
+	private readonly _attempts: RequestContext[] = [];
+	private _isDispatched = false;
 
 	/**
 	@param request - The caller's request.
@@ -29,11 +29,40 @@
 	*/
 	constructor(readonly request: IncomingMessage, readonly response: ServerResponse, readonly receivedAt: number) {}
 
-	/** Aborted when the caller has gone or the deadline has expired; the reason is a request error. */
+	/** Aborted when the caller has gone, the deadline has expired or the try is no longer needed; the reason is a request error. */
 	get signal(): AbortSignal {
 		return this._abort.signal;
 	}
 
+	/** True once a byte of the request, or of one of its tries, may have reached a target. */
+	get isDispatched(): boolean {
+		return this._isDispatched || this._attempts.some(attempt => attempt.isDispatched);
+	}
+
+	set isDispatched(value: boolean) {
+		this._isDispatched = value;
+	}
+
+	/** Creates the context of a further try; ending the request ends the try, not the other way round. */
+	createAttempt(attempt: number): RequestContext {
+		const child = new RequestContext(this.request, this.response, this.receivedAt);
+		child.service = this.service;
+		child.rule = this.rule;
+		child.deadlineAt = this.deadlineAt;
+		child.attempt = attempt;
+		child.excludedTargets = this.excludedTargets;
+		this._attempts.push(child);
+		if (this.signal.aborted) {
+			child.abort(this.signal.reason as RequestError);
+		} else {
+			this.signal.addEventListener('abort', () => {
+				child.abort(this.signal.reason as RequestError);
+			}, {once: true});
+		}
+
+		return child;
+	}
+
 	/** Ends all work for the request. */
 	abort(reason: RequestError): void {
 		this._abort.abort(reason);
--- a/src/filters/retry-filter.ts
+++ b/src/filters/retry-filter.ts
@@ -1,8 +1,7 @@
-import type {Result} from 'neverthrow';
 import {ErrorKind} from '../common/error-kind.js';
-import type {RequestError} from '../common/request-error.js';
-import type {TargetAnswer} from '../io/target-answer.js';
+import type {FilterResult} from './filter-result.js';
 import type {Filter} from './filter.js';
+import type {NextFilter} from './next-filter.js';
 import type {RequestContext} from './request-context.js';
 
 const maxAttempts = 3;
@@ -13,11 +12,11 @@
 		return 'retry';
 	}
 
-	async handleRequest(context: RequestContext, next: () => Promise<Result<TargetAnswer, RequestError>>): Promise<Result<TargetAnswer, RequestError>> {
-		let result = await next();
+	async handleRequest(context: RequestContext, next: NextFilter): FilterResult {
+		let result = await next(context);
 		while (result.isErr() && this._isRetryable(result.error.kind) && context.attempt + 1 < maxAttempts && !context.signal.aborted && !context.isDispatched) {
 			context.attempt++;
-			result = await next();
+			result = await next(context);
 		}
 
 		return result;
--- a/src/io/answer-body.ts
+++ b/src/io/answer-body.ts
@@ -2,6 +2,7 @@
 import {once} from 'node:events';
 import type {Writable} from 'node:stream';
 import {err, ok, type Result} from 'neverthrow';
+import {Emitter} from '../common/emitter.js';
 
 /** Flow control of the connection that an answer arrives on. */
 type Flow = {
@@ -20,10 +21,16 @@
 	private _sink: Writable | undefined;
 	private _isEnded = false;
 	private _error: Error | undefined;
+	private readonly _onSettled = new Emitter<boolean>();
 	private _settle: ((result: Result<void, Error>) => void) | undefined;
 
 	constructor(private readonly _flow: Flow) {}
 
+	/** Fires once: true when every byte has arrived, false when the answer was cut. */
+	get onSettled() {
+		return this._onSettled.event;
+	}
+
 	/** True when every byte has arrived. */
 	get isWhole(): boolean {
 		return this._isEnded;
@@ -46,6 +53,7 @@
 	/** Marks the body whole. */
 	end(): void {
 		this._isEnded = true;
+		this._onSettled.fire(true);
 		if (this._sink !== undefined) {
 			this._sink.end();
 			this._settle?.(ok());
@@ -55,6 +63,7 @@
 	/** Marks the body cut; the sink is destroyed, so that its reader sees that the answer is not whole. */
 	fail(error: Error): void {
 		this._error = error;
+		this._onSettled.fire(false);
 		if (this._sink !== undefined) {
 			this._sink.destroy();
 			this._settle?.(err(error));
