Refuse malformed, oversized and slow requests with proven outcomes

Cause: the data listener left edge cases to Node's defaults: an empty 400 without an outcome, header timeouts checked every 30 s, no limit of a body, a caller that leaves with pipelined requests unnoticed, and path prefixes that a target may read differently. Change: a listener for callers' requests checks framing, Host and target before the chain, answers what the parser refuses by the table, limits bodies while they stream, and cancels every open request of a connection that closes. A rule that is not idempotent applies wherever a path or an overriding method can be read in two ways. A cut answer ends by a reset, which also a caller of HTTP/1.0 can tell from the end of a whole one. Two error kinds are new: a body too large or too slow after dispatch, whose outcome is unknown. Ruled out: a counting stream between caller and target; a paused listener on the request counts without a copy.

--- a/src/bin/entry-daemon.ts
+++ b/src/bin/entry-daemon.ts
@@ -4,9 +4,7 @@
 import {DisposableStore} from '../common/disposable-store.js';
 import type {DisposableLike} from '../common/disposable-like.js';
 import type {EntrySettings} from '../common/entry-settings.js';
-import {ErrorKind} from '../common/error-kind.js';
 import type {Instance} from '../common/instance.js';
-import {RequestError} from '../common/request-error.js';
 import type {ServiceSpec} from '../common/service-spec.js';
 import {ConfigurationController} from '../controllers/configuration-controller.js';
 import {ConnectionController} from '../controllers/connection-controller.js';
@@ -20,13 +18,13 @@
 import {DeadlineFilter} from '../filters/deadline-filter.js';
 import {DispatchFilter} from '../filters/dispatch-filter.js';
 import {FilterChain} from '../filters/filter-chain.js';
-import {RequestContext} from '../filters/request-context.js';
 import {RetryFilter} from '../filters/retry-filter.js';
 import {DebugLogger} from '../io/debug-logger.js';
 import {HttpListener} from '../io/http-listener.js';
 import {PeerServer} from '../io/peer/peer-server.js';
 import {PlatformClient} from '../io/platform-client.js';
 import {systemClock} from '../io/system-clock.js';
+import {DataListener} from './data-listener.js';
 
 const createInstance = (settings: EntrySettings): Instance => ({
 	id: settings.instance.id,
@@ -54,7 +52,7 @@
 	private readonly _configuration: ConfigurationController;
 	private readonly _routes: RouteController;
 	private readonly _chain: FilterChain;
-	private readonly _dataListener: HttpListener;
+	private readonly _dataListener: DataListener;
 	private readonly _routeListener: HttpListener;
 	private readonly _operatorListener: HttpListener;
 	private readonly _peerServer: PeerServer;
@@ -72,7 +70,7 @@
 		this._store.add(new PeerController(this._members));
 		this._routes = new RouteController(this._configuration, this._members, _settings.routes.lifetimeMs);
 		this._chain = this._createChain();
-		this._dataListener = this._store.add(this._createDataListener());
+		this._dataListener = this._store.add(new DataListener({limits: _settings.limits, chain: this._chain, clock: systemClock}));
 		this._routeListener = this._store.add(new HttpListener({}, (request, response) => {
 			this._answerRoute(request, response);
 		}));
@@ -90,7 +88,7 @@
 			this._operatorListener.listen(listeners.operator),
 			this._peerServer.listener.listen(listeners.peer),
 			this._routeListener.listen(listeners.route),
-			this._dataListener.listen(listeners.data),
+			this._dataListener.listener.listen(listeners.data),
 		]);
 		const failed = results.find(result => result.isErr());
 		if (failed?.isErr()) {
@@ -129,23 +127,6 @@
 		]);
 	}
 
-	private _createDataListener(): HttpListener {
-		const {limits} = this._settings;
-		const listener = new HttpListener({
-			maxHeaderSize: limits.headerBytes, headersTimeout: limits.headersTimeoutMs, requestTimeout: limits.requestTimeoutMs, noDelay: true, keepAliveTimeout: 60_000,
-		}, (request, response) => {
-			const context = new RequestContext(request, response, systemClock.now());
-			response.once('close', () => {
-				if (!response.writableFinished) {
-					context.abort(new RequestError(ErrorKind.CallerGone, 'the caller closed the connection'));
-				}
-			});
-			void this._chain.run(context);
-		});
-		listener.server.maxConnections = limits.callerConnections;
-		return listener;
-	}
-
 	private _answerRoute(request: IncomingMessage, response: ServerResponse): void {
 		const url = new URL(request.url ?? '/', 'http://localhost');
 		const [, root, service, ...rest] = url.pathname.split('/');
--- a/src/common/entry-settings-schema.ts
+++ b/src/common/entry-settings-schema.ts
@@ -47,6 +47,8 @@
 		callerConnections: z.int().min(1).max(1_000_000).default(10_000),
 		/** Time to open a connection to a target, in ms. */
 		connectTimeoutMs: z.int().min(1).max(60_000).default(1000),
+	}).refine(limits => limits.headersTimeoutMs <= limits.requestTimeoutMs, {
+		path: ['headersTimeoutMs'], error: 'must be at most requestTimeoutMs',
 	}).prefault({}),
 	log: z.strictObject({
 		/** Namespaces to print, in the syntax of the `debug` library. */
--- a/src/common/error-answers.ts
+++ b/src/common/error-answers.ts
@@ -13,9 +13,15 @@
 	[ErrorKind.BodyTooLarge]: {
 		status: 413, title: 'The request body is too large', outcome: Outcome.NotRun, retryAfterSeconds: undefined,
 	},
+	[ErrorKind.BodyTooLargeDispatched]: {
+		status: 413, title: 'The request body grew too large after dispatch', outcome: Outcome.Unknown, retryAfterSeconds: undefined,
+	},
 	[ErrorKind.RequestTooSlow]: {
 		status: 408, title: 'The request took too long to arrive', outcome: Outcome.NotRun, retryAfterSeconds: undefined,
 	},
+	[ErrorKind.RequestTooSlowDispatched]: {
+		status: 408, title: 'The request body took too long to arrive after dispatch', outcome: Outcome.Unknown, retryAfterSeconds: undefined,
+	},
 	[ErrorKind.UnknownService]: {
 		status: 404, title: 'No such service', outcome: Outcome.NotRun, retryAfterSeconds: undefined,
 	},
--- a/src/filters/classify-filter.ts
+++ b/src/filters/classify-filter.ts
@@ -1,3 +1,4 @@
+import type {IncomingHttpHeaders} from 'node:http';
 import {err} from 'neverthrow';
 import {ErrorKind} from '../common/error-kind.js';
 import {RequestError} from '../common/request-error.js';
@@ -8,6 +9,20 @@
 import type {NextFilter} from './next-filter.js';
 import type {RequestContext} from './request-context.js';
 
+/** Headers by which common server frameworks let a request replace its method. */
+const overrideHeaders = ['x-http-method-override', 'x-method-override', 'x-http-method'];
+
+const findOverridingMethod = (headers: IncomingHttpHeaders): string | undefined => {
+	for (const name of overrideHeaders) {
+		const value = headers[name];
+		if (value !== undefined) {
+			return String(value).trim();
+		}
+	}
+
+	return undefined;
+};
+
 /** Finds the service by the Host header and the rule by method and path. */
 export class ClassifyFilter implements Filter {
 	constructor(private readonly _catalog: ServiceCatalog) {}
@@ -18,15 +33,15 @@
 
 	async handleRequest(context: RequestContext, next: NextFilter): FilterResult {
 		const {request} = context;
-		const host = request.headers.host ?? '';
-		const name = host.split(':', 1)[0] ?? '';
+		const [name = ''] = (request.headers.host ?? '').toLowerCase().split(':', 1);
 		const service = this._catalog.getService(name);
 		if (service === undefined) {
 			return err(new RequestError(ErrorKind.UnknownService, `no service is named "${name}"; the Host header names the service`));
 		}
 
-		const rule = findRule(service, request.method ?? 'GET', request.url ?? '/');
+		const rule = findRule(service, {method: request.method ?? 'GET', target: request.url ?? '/', overridingMethod: findOverridingMethod(request.headers)});
 		if (rule === undefined) {
+			context.response.setHeader('allow', [...new Set(service.rules.flatMap(({methods}) => methods))].join(', '));
 			return err(new RequestError(ErrorKind.MethodNotAllowed, `no rule of service ${name} matches ${request.method} ${request.url}`));
 		}
 
