Give the stand-ins slots, ledgers, lies, outages and faults

Cause: experiments and fault tests need targets, a platform and a network that misbehave on demand. Change: targets with a bounded queue, seeded service times and slow times, reports that lag or mislead, cancellation, deadlines and a ledger; a platform of replicas with counted and limited calls, lag, standstill and outage; a TCP proxy that refuses, resets, delays, cuts, swallows and splits by process. Targets may run in worker processes. Ruled out: a platform view of its own for each entry with rewritten addresses, since digests of equal revisions would differ.

--- a/tools/site/site.ts
+++ b/tools/site/site.ts
@@ -5,50 +5,113 @@
 import type {Instance} from '../../src/common/instance.js';
 import type {Parameters} from '../../src/common/parameters.js';
 import type {TargetSpec} from '../../src/common/target-spec.js';
+import type {Template} from '../../src/common/template.js';
 import {StandInPlatform} from '../standins/platform/stand-in-platform.js';
-import {StandInTarget} from '../standins/target/stand-in-target.js';
+import {FaultProxy} from '../standins/proxy/fault-proxy.js';
+import type {StandInTarget} from '../standins/target/stand-in-target.js';
+import {TargetFleet} from '../standins/target/target-fleet.js';
 import {EntryProcess} from './entry-process.js';
 import {findFreePorts} from './find-free-ports.js';
 import {projectRoot} from './project-root.js';
 import {siteLayouts} from './site-layouts.js';
 import type {SiteOptions} from './site-options.js';
 
+type EntryPorts = Pick<Instance, 'dataPort' | 'routePort' | 'peerPort' | 'operatorPort'>;
+
 const loopback = '127.0.0.1';
 const portsPerInstance = 4;
 
 const readExample = (folder: string, name: string): unknown => JSON.parse(readFileSync(path.join(projectRoot, 'examples', folder, `${name}.json`), 'utf8'));
 
-/** A site on loopback: stand-ins in this process and entry instances as processes of their own. */
+/** A site on loopback: stand-ins in this process or in workers, and entry instances as processes of their own. */
 export class Site implements DisposableLike {
-	readonly platform = new StandInPlatform();
+	readonly platform: StandInPlatform;
+	readonly fleet: TargetFleet;
+	/** The entry processes that were started, in order; a replacement is added at the end. */
 	readonly entries: EntryProcess[] = [];
-	readonly targets = new Map<string, StandInTarget>();
+	/** Fault proxies before targets, by target. */
+	readonly targetProxies = new Map<string, FaultProxy>();
+	/** Fault proxies before the data listeners of entry instances, by instance. */
+	readonly entryProxies = new Map<string, FaultProxy>();
+	/** Fault proxies before the peer listeners of entry instances, by instance. */
+	readonly peerProxies = new Map<string, FaultProxy>();
+	/** Published parameters by service, with the addresses of the stand-ins. */
+	readonly parameters = new Map<string, Parameters>();
 	private readonly _store = new DisposableStore();
+	private readonly _ports = new Map<string, EntryPorts>();
 	private _instances: Instance[] = [];
 
-	constructor(private readonly _options: SiteOptions) {}
+	constructor(private readonly _options: SiteOptions) {
+		this.platform = this._store.add(new StandInPlatform(_options.platformReplicas));
+		this.fleet = this._store.add(new TargetFleet(_options.targetWorkers ?? 0));
+	}
 
-	/** The entry instances in the order in which they were started. */
+	/** The entry instances as they are published. */
 	get instances(): readonly Instance[] {
 		return this._instances;
 	}
 
+	/** Targets that run in this process, by name. */
+	get targets(): ReadonlyMap<string, StandInTarget> {
+		return this.fleet.local;
+	}
+
 	/** Names of the services that were started. */
 	get services(): readonly string[] {
 		return this._options.services ?? siteLayouts[this._options.site].services;
 	}
 
+	/** Process ids of the running entry instances. */
+	get entryPids(): readonly number[] {
+		return this.entries.flatMap(entry => entry.pid ?? []);
+	}
+
 	/** Starts stand-ins, publishes the configuration and starts the entry instances. */
 	async start(): Promise<void> {
-		this._store.add(this.platform);
-		await this.platform.listener.listen({host: loopback, port: 0});
+		await this.platform.start();
 		for (const service of this.services) {
 			await this._startService(service);
 		}
 
-		this._instances = await this._planInstances();
-		this.platform.publishValue('rattansill/instances', {maxInstances: this._instances.length + 2, instances: this._instances});
-		await Promise.all(this._instances.map(async instance => this._startEntry(instance)));
+		await this._planInstances();
+		this.publishInstances();
+		await Promise.all(this._instances.map(async instance => this.startEntry(instance)));
+	}
+
+	/** Publishes the instance list, after a change of it where one is given. */
+	publishInstances(instances: readonly Instance[] = this._instances): void {
+		this._instances = [...instances];
+		this.platform.publishValue('rattansill/instances', {maxInstances: this._ports.size + 2, instances: this._instances});
+	}
+
+	/** Publishes the parameters of a service with some values changed. */
+	publishParameters(service: string, change: Readonly<Record<string, unknown>>): void {
+		const before = this.parameters.get(service);
+		if (before === undefined) {
+			throw new Error(`site has no service "${service}"`);
+		}
+
+		const parameters = {...before, values: {...before.values, ...change as Parameters['values']}};
+		this.parameters.set(service, parameters);
+		this.platform.publishValue(`rattansill/parameters/${service}`, parameters);
+	}
+
+	/** Starts the process of an instance; after an earlier one has ended this replaces it. */
+	async startEntry(instance: Instance): Promise<EntryProcess> {
+		const ports = this._ports.get(instance.id) ?? instance;
+		const entry = this._store.add(new EntryProcess({
+			instance: {
+				id: instance.id, host: instance.host, failureDomain: instance.failureDomain, region: instance.region,
+			},
+			listeners: {
+				data: {port: ports.dataPort}, route: {port: ports.routePort}, peer: {port: ports.peerPort}, operator: {port: ports.operatorPort},
+			},
+			platform: {urls: [...this.platform.urls]},
+			...this._options.settings,
+		}));
+		this.entries.push(entry);
+		await entry.start();
+		return entry;
 	}
 
 	dispose(): void {
@@ -57,49 +120,64 @@
 
 	private async _startService(service: string): Promise<void> {
 		const example = readExample('parameters', service) as Parameters;
-		const slots = Number(example.values.slots);
-		const specs = (example.values.targets as TargetSpec[]).slice(0, this._options.targetsPerService);
-		const placed = await Promise.all(specs.map(async spec => {
-			const target = this._store.add(new StandInTarget({id: spec.id, slots, serviceTimeMs: this._options.serviceTimeMs}));
-			await target.listener.listen({host: loopback, port: 0});
-			this.targets.set(spec.id, target);
-			return {...spec, host: loopback, port: target.listener.port};
-		}));
-		this.platform.publishValue(`rattansill/templates/${example.template}`, readExample('templates', example.template));
-		this.platform.publishValue(`rattansill/parameters/${service}`, {...example, values: {...example.values, targets: placed}});
+		const values: Record<string, unknown> = {...example.values, ...this._options.parameters?.[service]};
+		const specs = (values.targets as TargetSpec[]).slice(0, this._options.targetsPerService);
+		const ports = await this.fleet.start(specs.map(spec => ({
+			id: spec.id, slots: Number(values.slots), serviceTimeMs: this._options.serviceTimeMs, serviceTimes: this._options.serviceTimes, behavior: this._options.targetBehavior,
+		})));
+		const placed = await Promise.all(specs.map(async spec => ({...spec, host: loopback, port: await this._placeTarget(spec.id, ports.get(spec.id) ?? 0)})));
+		const template = readExample('templates', example.template) as Template;
+		this.platform.publishValue(`rattansill/templates/${example.template}`, {...template, service: {...template.service, ...this._options.templates?.[example.template]}});
+		this.parameters.set(service, {...example, values: {...values, targets: placed}});
+		this.publishParameters(service, {});
+	}
+
+	private async _placeTarget(id: string, port: number): Promise<number> {
+		if (!this._options.isProxyingTargets) {
+			return port;
+		}
+
+		const proxy = await this._startProxy(port);
+		this.targetProxies.set(id, proxy);
+		return proxy.port;
 	}
 
-	private async _planInstances(): Promise<Instance[]> {
+	private async _startProxy(port: number): Promise<FaultProxy> {
+		const proxy = this._store.add(new FaultProxy({host: loopback, port, listPids: () => this.entryPids}));
+		await proxy.start();
+		return proxy;
+	}
+
+	private async _planInstances(): Promise<void> {
 		const layout = siteLayouts[this._options.site];
 		const count = this._options.entryCount ?? layout.entryCount;
-		const ports = await findFreePorts(count * portsPerInstance);
-		return Array.from({length: count}, (_, index) => {
-			const [dataPort = 0, routePort = 0, peerPort = 0, operatorPort = 0] = ports.slice(index * portsPerInstance);
-			return {
-				id: `entry-${index + 1}`,
+		const free = await findFreePorts(count * portsPerInstance);
+		for (let index = 0; index < count; index++) {
+			const [dataPort = 0, routePort = 0, peerPort = 0, operatorPort = 0] = free.slice(index * portsPerInstance);
+			const id = `entry-${index + 1}`;
+			const ports = {
+				dataPort, routePort, peerPort, operatorPort,
+			};
+			this._ports.set(id, ports);
+			this._instances.push({
+				id,
 				host: loopback,
-				dataPort,
-				routePort,
-				peerPort,
-				operatorPort,
+				...await this._placeInstance(id, ports),
 				failureDomain: layout.failureDomains[index % layout.failureDomains.length] ?? '',
 				region: layout.team,
 				leaving: false,
-			};
-		});
+			});
+		}
 	}
 
-	private async _startEntry(instance: Instance): Promise<void> {
-		const entry = this._store.add(new EntryProcess({
-			instance: {
-				id: instance.id, host: instance.host, failureDomain: instance.failureDomain, region: instance.region,
-			},
-			listeners: {
-				data: {port: instance.dataPort}, route: {port: instance.routePort}, peer: {port: instance.peerPort}, operator: {port: instance.operatorPort},
-			},
-			platform: {urls: [`http://${loopback}:${this.platform.listener.port}`]},
-		}));
-		this.entries.push(entry);
-		await entry.start();
+	private async _placeInstance(id: string, ports: EntryPorts): Promise<EntryPorts> {
+		if (!this._options.isProxyingEntries) {
+			return ports;
+		}
+
+		const [data, peer] = await Promise.all([this._startProxy(ports.dataPort), this._startProxy(ports.peerPort)]);
+		this.entryProxies.set(id, data);
+		this.peerProxies.set(id, peer);
+		return {...ports, dataPort: data.port, peerPort: peer.port};
 	}
 }
--- /dev/null
+++ b/tools/standins/target/default-target-behavior.ts
@@ -0,0 +1,19 @@
+import {ReportMode} from './report-mode.js';
+import type {TargetBehavior} from './target-behavior.js';
+
+/** A healthy, honest target on the same machine. */
+export const defaultTargetBehavior: TargetBehavior = {
+	slowFactor: 1,
+	slowSchedule: undefined,
+	coldStartMs: 0,
+	coldFactor: 4,
+	reportMode: ReportMode.Honest,
+	reportDelayMs: 0,
+	isDraining: false,
+	isShedding: false,
+	isFailingFast: false,
+	isHealthy: true,
+	queueLimit: 1000,
+	oneWayDelayMs: 0,
+	isReportingOnAnswers: true,
+};
--- /dev/null
+++ b/tools/standins/target/format-load-report.ts
@@ -0,0 +1,9 @@
+import type {LoadReport} from '../../../src/common/load-report.js';
+
+/** Formats a report in the text format of ORCA, as it rides on answers in the header `endpoint-load-metrics`. */
+export const formatLoadReport = (report: LoadReport, slots: number): string => [
+	`TEXT application_utilization=${((report.inFlight + report.queued) / slots).toFixed(3)}`,
+	`named_metrics.in_flight=${report.inFlight}`,
+	`named_metrics.queued=${report.queued}`,
+	`named_metrics.draining=${report.draining ? 1 : 0}`,
+].join(', ');
--- a/tools/standins/target/stand-in-target.ts
+++ b/tools/standins/target/stand-in-target.ts
@@ -1,65 +1,179 @@
-import {Buffer} from 'node:buffer';
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {setTimeout as sleep} from 'node:timers/promises';
+import type {Socket} from 'node:net';
+import {performance} from 'node:perf_hooks';
 import type {DisposableLike} from '../../../src/common/disposable-like.js';
+import {HeaderName} from '../../../src/common/header-names.js';
 import {HttpListener} from '../../../src/io/http-listener.js';
+import {SecondCounter} from '../second-counter.js';
+import {computeSlowFactor} from './compute-slow-factor.js';
+import {defaultTargetBehavior} from './default-target-behavior.js';
+import {formatLoadReport} from './format-load-report.js';
+import {LoadReporter} from './load-reporter.js';
+import {RunLedger} from './run-ledger.js';
+import type {RunRecord} from './run-record.js';
+import {ServiceTimeSampler} from './service-time-sampler.js';
+import {SlotQueue} from './slot-queue.js';
+import type {StandInTargetOptions} from './stand-in-target-options.js';
+import type {TargetBehavior} from './target-behavior.js';
+import {TargetExchange} from './target-exchange.js';
+import type {TargetFigures} from './target-figures.js';
 
-type StandInTargetOptions = {
-	/** Name that the target writes into its answers. */
-	readonly id: string;
-	/** Requests that run at the same time; more wait. */
-	readonly slots: number;
-	/** Time that a request occupies a slot, in ms. */
-	readonly serviceTimeMs: (request: IncomingMessage) => number;
-};
+const quickMs = 5;
+const headerBytesEstimate = 200;
 
-/** A small stand-in for a target: it answers after a service time, with a limited number of slots. */
+/** A small stand-in for a target: slots with a bounded queue, a load report that may mislead, and a ledger of what ran. */
 export class StandInTarget implements DisposableLike {
-	readonly listener = new HttpListener({keepAliveTimeout: 60_000}, (request, response) => {
-		void this._answer(request, response);
+	readonly listener = new HttpListener({keepAliveTimeout: 60_000, noDelay: true}, (request, response) => {
+		this._serve(request, response);
 	});
 
-	private readonly _waiting: Array<() => void> = [];
-	private _inFlight = 0;
+	private readonly _ledger = new RunLedger();
+	private readonly _slots: SlotQueue;
+	private readonly _reporter: LoadReporter;
+	private readonly _sampler: ServiceTimeSampler | undefined;
+	private readonly _probes = new SecondCounter();
+	private readonly _startedAt = Date.now();
+	private _behavior: TargetBehavior;
+	private _runs = 0;
+	private _busyMs = 0;
+	private _probeBytes = 0;
+	private _probeMs = 0;
+	private _connections = 0;
+	private _peakConnections = 0;
 
-	constructor(private readonly _options: StandInTargetOptions) {}
+	constructor(private readonly _options: StandInTargetOptions) {
+		this._behavior = {...defaultTargetBehavior, ..._options.behavior};
+		this._slots = new SlotQueue(_options.slots);
+		this._reporter = new LoadReporter(_options.slots);
+		this._sampler = _options.serviceTimes === undefined ? undefined : new ServiceTimeSampler(_options.serviceTimes);
+		this.listener.server.on('connection', (socket: Socket) => {
+			this._connections++;
+			this._peakConnections = Math.max(this._peakConnections, this._connections);
+			socket.once('close', () => {
+				this._connections--;
+			});
+		});
+	}
+
+	/** Name of the target. */
+	get id(): string {
+		return this._options.id;
+	}
+
+	/** Requests that run. */
+	get inFlight(): number {
+		return this._slots.inFlight;
+	}
+
+	/** Requests that wait for a slot. */
+	get queued(): number {
+		return this._slots.queued;
+	}
+
+	/** What arrived, in order of arrival. */
+	get records(): readonly RunRecord[] {
+		return this._ledger.records;
+	}
+
+	/** What was counted since the start. */
+	get figures(): TargetFigures {
+		return {
+			target: this.id,
+			runs: this._runs,
+			busyMs: this._busyMs,
+			probesBySecond: this._probes.seconds,
+			probeBytes: this._probeBytes,
+			probeMs: this._probeMs,
+			connections: this._connections,
+			peakConnections: this._peakConnections,
+		};
+	}
+
+	/** Changes the behavior from now on. */
+	setBehavior(change: Partial<TargetBehavior>): void {
+		if (change.reportMode !== undefined && change.reportMode !== this._behavior.reportMode) {
+			this._reporter.updateFrozen();
+		}
+
+		this._behavior = {...this._behavior, ...change};
+	}
+
+	/** Forgets the ledger. */
+	clearLedger(): void {
+		this._ledger.clear();
+	}
 
 	dispose(): void {
 		this.listener.dispose();
 	}
 
-	private async _answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
-		if (request.url === '/load') {
-			response.end(JSON.stringify({inFlight: this._inFlight, queued: this._waiting.length, draining: false}));
+	private _serve(request: IncomingMessage, response: ServerResponse): void {
+		if (request.url === '/load' || request.url === '/health') {
+			this._answerProbe(request, response);
 			return;
 		}
 
+		const exchange = new TargetExchange({
+			target: this.id,
+			request,
+			response,
+			ledger: this._ledger,
+			slots: this._slots,
+			getBehavior: () => this._behavior,
+			drawServiceMs: () => this._drawServiceMs(request),
+			createStateHeaders: () => this._createStateHeaders(),
+			notifyLoad: busyMs => {
+				this._runs += busyMs > 0 ? 1 : 0;
+				this._busyMs += busyMs;
+				this._reporter.recordLoad(this._getLoad(), Date.now());
+			},
+		});
+		exchange.serve();
+	}
+
+	private _answerProbe(request: IncomingMessage, response: ServerResponse): void {
+		const startedAt = performance.now();
+		const isHealth = request.url === '/health';
+		const behavior = this._behavior;
+		const body = `${JSON.stringify(isHealth ? {healthy: behavior.isHealthy} : this._computeReport())}\n`;
+		response.writeHead(isHealth && !behavior.isHealthy ? 503 : 200, {'content-type': 'application/json', 'content-length': body.length});
+		// The two ways of the network are put before the answer.
+		setTimeout(() => {
+			response.end(body);
+		}, 2 * behavior.oneWayDelayMs);
 		request.resume();
-		await this._enter();
-		await sleep(this._options.serviceTimeMs(request));
-		this._leave();
-		const body = `${JSON.stringify({target: this._options.id, path: request.url})}\n`;
-		response.writeHead(200, {'content-type': 'application/json', 'content-length': Buffer.byteLength(body)});
-		response.end(body);
+		this._probes.add(Date.now());
+		this._probeBytes += body.length + headerBytesEstimate;
+		this._probeMs += performance.now() - startedAt;
 	}
 
-	private async _enter(): Promise<void> {
-		if (this._inFlight < this._options.slots) {
-			this._inFlight++;
-			return;
+	private _drawServiceMs(request: IncomingMessage): number {
+		const asked = Number(request.headers['x-service-ms'] ?? Number.NaN);
+		const baseMs = Number.isNaN(asked) ? this._options.serviceTimeMs?.(request) ?? this._sampler?.getNext().serviceMs ?? quickMs : asked;
+		const now = Date.now();
+		const {slowFactor, slowSchedule, coldStartMs, coldFactor} = this._behavior;
+		const isCold = now - this._startedAt < coldStartMs;
+		return baseMs * slowFactor * computeSlowFactor(slowSchedule, now) * (isCold ? coldFactor : 1);
+	}
+
+	private _createStateHeaders(): Record<string, string> {
+		const headers: Record<string, string> = {};
+		if (this._behavior.isReportingOnAnswers) {
+			headers[HeaderName.LoadReport] = formatLoadReport(this._computeReport(), this._options.slots);
 		}
 
-		await new Promise<void>(resolve => {
-			this._waiting.push(resolve);
-		});
+		if (this._behavior.isDraining) {
+			headers['x-draining'] = 'true';
+		}
+
+		return headers;
 	}
 
-	private _leave(): void {
-		const next = this._waiting.shift();
-		if (next === undefined) {
-			this._inFlight--;
-		} else {
-			next();
-		}
+	private _computeReport() {
+		return this._reporter.computeReport(this._behavior.reportMode, this._behavior.reportDelayMs, Date.now());
+	}
+
+	private _getLoad() {
+		return {inFlight: this._slots.inFlight, queued: this._slots.queued, draining: this._behavior.isDraining};
 	}
 }
