State every outcome from a ledger of the request's tries

Cause: a boolean on the context told whether a request was dispatched; an error could state an outcome that it did not know, and an abandoned connect or a cut answer without a stated length had no honest end. Change: OutcomeLedger with one TryRecord a try (queued, connecting, dispatched, answering, settled); DispatchFilter applies what happens, OutcomeFilter converts every error to what the ledger knows; a second dispatch of a non-idempotent request is refused. Connections: a wait for one ends with the request, late ones serve the next; reused connections that stay silent are suspect, their unproved siblings dropped, idempotent requests leave them; TLS to targets where the template says so. Ruled out: passing on answers whose end is the end of the connection, since a cut cannot be told from it. Conclusion: outcomes have one source.

--- a/src/bin/entry-daemon.ts
+++ b/src/bin/entry-daemon.ts
@@ -20,6 +20,7 @@
 import {DeadlineFilter} from '../filters/deadline-filter.js';
 import {DispatchFilter} from '../filters/dispatch-filter.js';
 import {FilterChain} from '../filters/filter-chain.js';
+import {OutcomeFilter} from '../filters/outcome-filter.js';
 import {RequestContext} from '../filters/request-context.js';
 import {RetryFilter} from '../filters/retry-filter.js';
 import {DebugLogger} from '../io/debug-logger.js';
@@ -121,6 +122,7 @@
 		const getConnectionLimit = (service: ServiceSpec) => Math.max(1, Math.floor(service.connectionsPerTarget / this._members.maxInstances));
 		return new FilterChain([
 			new AnswerFilter(),
+			new OutcomeFilter(),
 			new ClassifyFilter(this._configuration),
 			new DeadlineFilter(systemClock),
 			new RetryFilter(),
--- a/src/controllers/connection-controller.ts
+++ b/src/controllers/connection-controller.ts
@@ -10,6 +10,10 @@
 type TargetPool = {
 	readonly idle: TargetConnection[];
 	openCount: number;
+	/** Share of this instance as of the last demand. */
+	limit: number;
+	/** Idle connections without a proof of life since this time are not used. */
+	distrustedBefore: number;
 };
 
 type ConnectionDemand = {
@@ -18,47 +22,101 @@
 	readonly limit: number;
 	/** Oldest proof of life that is accepted, in ms; an older connection is not used. */
 	readonly maxProofAgeMs: number;
+	/** Whether the connection uses TLS. */
+	readonly tls: boolean;
+	/** Silence after which a reused connection is given up, in ms; infinite when the request must not be sent again. */
+	readonly silenceLimitMs: number;
+	/** Ends the wait for a connection; its reason is a request error. */
+	readonly signal: AbortSignal;
+};
+
+/** A connection that carries a request. */
+type Use = {
+	readonly pool: TargetPool;
+	readonly since: number;
+	readonly silenceLimitMs: number;
 };
 
 type ConnectionControllerOptions = {
 	/** Time to open a connection, in ms. */
 	readonly connectTimeoutMs: number;
+	/** Certificate authority of the targets, as PEM; the system's own when undefined. */
+	readonly targetCa?: string;
 	readonly clock: Clock;
 };
 
+/** Time without a byte after which a connection that carries a request is suspect, in ms. */
+const suspectAfterMs = 250;
+const scanIntervalMs = 100;
+
+const waitForAbort = async (signal: AbortSignal): Promise<Result<TargetConnection, RequestError>> => new Promise(resolve => {
+	const settle = () => {
+		resolve(err(signal.reason as RequestError));
+	};
+
+	if (signal.aborted) {
+		settle();
+	} else {
+		signal.addEventListener('abort', settle, {once: true});
+	}
+});
+
 /** Holds the connections to all targets, within this instance's share of each target's limit. */
 export class ConnectionController implements DisposableLike {
 	private readonly _pools = new Map<string, TargetPool>();
+	private readonly _uses = new Map<TargetConnection, Use>();
+	private readonly _scanTimer: NodeJS.Timeout;
 
-	constructor(private readonly _options: ConnectionControllerOptions) {}
+	constructor(private readonly _options: ConnectionControllerOptions) {
+		this._scanTimer = setInterval(() => {
+			this.checkSilence();
+		}, scanIntervalMs).unref();
+	}
 
 	/** Takes an idle connection or opens one; an error proves that nothing was sent. */
 	async acquireConnection(demand: ConnectionDemand): Promise<Result<TargetConnection, RequestError>> {
-		const pool = this._getPool(demand.target);
-		const oldestProofAt = this._options.clock.now() - demand.maxProofAgeMs;
-		for (let connection = pool.idle.pop(); connection !== undefined; connection = pool.idle.pop()) {
-			if (!connection.isClosed && connection.lastProofAt >= oldestProofAt) {
-				return ok(connection);
-			}
+		if (demand.signal.aborted) {
+			return err(demand.signal.reason as RequestError);
+		}
 
-			connection.dispose();
+		const pool = this._getPool(demand.target);
+		pool.limit = demand.limit;
+		const idle = this._takeIdle(pool, demand);
+		if (idle !== undefined) {
+			this._uses.set(idle, {pool, since: this._options.clock.now(), silenceLimitMs: demand.silenceLimitMs});
+			return ok(idle);
 		}
 
 		if (pool.openCount >= demand.limit) {
 			return err(new RequestError(ErrorKind.ConnectionsExhausted, `${pool.openCount} connections to target ${demand.target.id} are in use, limit ${demand.limit}`));
 		}
 
-		return this._openConnection(demand.target, pool);
+		return this._openForDemand(pool, demand);
 	}
 
 	/** Gives a connection back for the next request. */
-	releaseConnection(target: TargetSpec, connection: TargetConnection): void {
-		if (!connection.isClosed) {
-			this._getPool(target).idle.push(connection);
+	releaseConnection(connection: TargetConnection): void {
+		const pool = this._uses.get(connection)?.pool;
+		this._uses.delete(connection);
+		if (pool === undefined || connection.isClosed) {
+			return;
+		}
+
+		if (pool.openCount > pool.limit) {
+			connection.dispose();
+			return;
 		}
+
+		pool.idle.push(connection);
 	}
 
-	dispose(): void {
+	/** Connections open or being opened to a target. */
+	countConnections(target: TargetSpec): number {
+		return this._pools.get(`${target.host}:${target.port}`)?.openCount ?? 0;
+	}
+
+	/** Drops every idle connection, after a time in which this process could not watch them. */
+	dropIdle(): void {
 		for (const pool of this._pools.values()) {
 			for (const connection of pool.idle.splice(0)) {
 				connection.dispose();
@@ -66,9 +124,81 @@
 		}
 	}
 
-	private async _openConnection(target: TargetSpec, pool: TargetPool): Promise<Result<TargetConnection, RequestError>> {
+	/** Finds connections whose request has seen no byte for long, and drops idle ones that may have gone silent with them. */
+	checkSilence(): void {
+		const now = this._options.clock.now();
+		for (const [connection, use] of this._uses) {
+			const silentSince = Math.max(use.since, connection.lastProofAt);
+			if (now - silentSince < suspectAfterMs) {
+				continue;
+			}
+
+			this._dropUnproved(use.pool, silentSince);
+			if (now - silentSince >= use.silenceLimitMs) {
+				connection.dispose();
+			}
+		}
+	}
+
+	dispose(): void {
+		clearInterval(this._scanTimer);
+		this.dropIdle();
+	}
+
+	private _takeIdle(pool: TargetPool, demand: ConnectionDemand): TargetConnection | undefined {
+		const oldestProofAt = Math.max(pool.distrustedBefore, this._options.clock.now() - demand.maxProofAgeMs);
+		for (let index = pool.idle.length - 1; index >= 0; index--) {
+			const connection = pool.idle[index];
+			if (connection !== undefined && !connection.isClosed && connection.lastProofAt >= oldestProofAt) {
+				pool.idle.splice(index, 1);
+				return connection;
+			}
+		}
+
+		// At the limit a connection that is too old for this request makes room for a new one.
+		if (pool.openCount >= demand.limit) {
+			pool.idle.shift()?.dispose();
+		}
+
+		return undefined;
+	}
+
+	private _dropUnproved(pool: TargetPool, since: number): void {
+		pool.distrustedBefore = Math.max(pool.distrustedBefore, since);
+		for (const connection of pool.idle.filter(item => item.lastProofAt < since)) {
+			connection.dispose();
+		}
+	}
+
+	private async _openForDemand(pool: TargetPool, demand: ConnectionDemand): Promise<Result<TargetConnection, RequestError>> {
+		const opening = this._openConnection(pool, demand);
+		const result = await Promise.race([opening, waitForAbort(demand.signal)]);
+		if (demand.signal.aborted) {
+			void this._keepOpened(pool, opening);
+			return err(demand.signal.reason as RequestError);
+		}
+
+		if (result.isOk()) {
+			this._uses.set(result.value, {pool, since: this._options.clock.now(), silenceLimitMs: Number.POSITIVE_INFINITY});
+		}
+
+		return result;
+	}
+
+	/** A connection that nobody waits for any more serves the next request. */
+	private async _keepOpened(pool: TargetPool, opening: Promise<Result<TargetConnection, RequestError>>): Promise<void> {
+		const opened = await opening;
+		if (opened.isOk() && !opened.value.isClosed) {
+			pool.idle.push(opened.value);
+		}
+	}
+
+	private async _openConnection(pool: TargetPool, {target, tls}: ConnectionDemand): Promise<Result<TargetConnection, RequestError>> {
 		pool.openCount++;
-		const opened = await openConnection(target, this._options.connectTimeoutMs, this._options.clock);
+		const {connectTimeoutMs, targetCa, clock} = this._options;
+		const opened = await openConnection({
+			target, timeoutMs: connectTimeoutMs, clock, tls: tls ? {ca: targetCa} : undefined,
+		});
 		if (opened.isErr()) {
 			pool.openCount--;
 			return err(new RequestError(ErrorKind.ConnectFailed, `target ${target.id}: ${opened.error.message}`));
@@ -76,20 +206,27 @@
 
 		const connection = opened.value;
 		connection.onClosed(() => {
-			pool.openCount--;
-			const index = pool.idle.indexOf(connection);
-			if (index !== -1) {
-				pool.idle.splice(index, 1);
-			}
+			this._removeConnection(pool, connection);
 		});
 		return ok(connection);
 	}
 
+	private _removeConnection(pool: TargetPool, connection: TargetConnection): void {
+		pool.openCount--;
+		this._uses.delete(connection);
+		const index = pool.idle.indexOf(connection);
+		if (index !== -1) {
+			pool.idle.splice(index, 1);
+		}
+	}
+
 	private _getPool(target: TargetSpec): TargetPool {
 		const key = `${target.host}:${target.port}`;
 		let pool = this._pools.get(key);
 		if (pool === undefined) {
-			pool = {idle: [], openCount: 0};
+			pool = {
+				idle: [], openCount: 0, limit: 0, distrustedBefore: Number.NEGATIVE_INFINITY,
+			};
 			this._pools.set(key, pool);
 		}
 
--- a/src/filters/dispatch-filter.ts
+++ b/src/filters/dispatch-filter.ts
@@ -1,13 +1,19 @@
-import {err, ok} from 'neverthrow';
+import {err, ok, type Result} from 'neverthrow';
 import type {Clock} from '../common/clock.js';
 import {ErrorKind} from '../common/error-kind.js';
 import {ExchangeEnd} from '../common/exchange-end.js';
 import {HeaderName} from '../common/header-names.js';
 import {RequestError} from '../common/request-error.js';
+import type {RequestRule} from '../common/request-rule.js';
 import type {ServiceSpec} from '../common/service-spec.js';
+import type {SlotLease} from '../common/slot-lease.js';
 import type {ConnectionController} from '../controllers/connection-controller.js';
 import type {ExchangeFailure} from '../io/exchange-failure.js';
 import type {TargetAnswer} from '../io/target-answer.js';
+import type {TargetConnection} from '../io/target-connection.js';
+import {hasStatedEnd} from '../policy/has-stated-end.js';
+import {TryInput} from '../policy/try-input.js';
+import type {TryRecord} from '../policy/try-record.js';
 import type {FilterResult} from './filter-result.js';
 import type {Filter} from './filter.js';
 import type {RequestContext} from './request-context.js';
@@ -20,8 +26,17 @@
 	readonly getConnectionLimit: (service: ServiceSpec) => number;
 };
 
-const provedMs = 1000;
-const idleMs = 60_000;
+type Classified = {readonly lease: SlotLease; readonly service: ServiceSpec; readonly rule: RequestRule};
+type Connected = {readonly lease: SlotLease; readonly service: ServiceSpec; readonly connection: TargetConnection};
+
+/** Age of the last proof of life up to which a connection carries a request that must not run twice, in ms. */
+const provedMs = 100;
+/** The same for idempotent requests, in ms. */
+const idleMs = 30_000;
+/** Shortest silence after which an idempotent request leaves a reused connection, in ms. */
+const minSilenceMs = 500;
+/** Part of the time left that an idempotent request waits on a silent reused connection. */
+const silenceDivisor = 4;
 
 /** Sends the request to the target of its slot and waits for the head of the answer. */
 export class DispatchFilter implements Filter {
@@ -37,16 +52,39 @@
 			return err(new RequestError(ErrorKind.InternalQueued, 'the request has no slot'));
 		}
 
-		const {target} = lease;
-		const acquired = await this._options.connections.acquireConnection({target, limit: this._options.getConnectionLimit(service), maxProofAgeMs: rule.idempotent ? idleMs : provedMs});
+		const record = context.ledger.beginTry(rule.idempotent);
+		if (record === undefined) {
+			lease.release(ExchangeEnd.Unused);
+			return err(new RequestError(ErrorKind.InternalDispatched, 'a second dispatch could run the request twice'));
+		}
+
+		const connected = await this._connect(context, record, {lease, service, rule});
+		return connected.isErr() ? err(connected.error) : this._exchange(context, record, {lease, service, connection: connected.value});
+	}
+
+	/** Takes a connection; an error of it proves that nothing was sent. */
+	private async _connect(context: RequestContext, record: TryRecord, {lease, service, rule}: Classified): Promise<Result<TargetConnection, RequestError>> {
+		record.apply(TryInput.Connect);
+		const acquired = await this._options.connections.acquireConnection({
+			target: lease.target,
+			limit: this._options.getConnectionLimit(service),
+			maxProofAgeMs: rule.idempotent ? idleMs : provedMs,
+			tls: service.tls,
+			silenceLimitMs: rule.idempotent ? this._computeSilenceLimit(context) : Number.POSITIVE_INFINITY,
+			signal: context.signal,
+		});
 		if (acquired.isErr()) {
-			lease.release(ExchangeEnd.ConnectFailed);
-			context.excludedTargets.push(target.id);
-			return err(acquired.error);
+			record.apply(TryInput.GiveUp);
+			lease.release(context.signal.aborted ? ExchangeEnd.Unused : ExchangeEnd.ConnectFailed);
+			context.excludedTargets.push(lease.target.id);
 		}
 
-		const connection = acquired.value;
-		context.isDispatched = true;
+		return acquired;
+	}
+
+	private async _exchange(context: RequestContext, record: TryRecord, {lease, service, connection}: Connected): FilterResult {
+		const {target} = lease;
+		record.apply(TryInput.Dispatch);
 		const result = await connection.sendRequest({
 			method: context.request.method ?? 'GET',
 			path: context.request.url ?? '/',
@@ -56,24 +94,33 @@
 		});
 		if (result.isErr()) {
 			connection.dispose();
-			context.isDispatched = result.error.isWritten;
+			record.apply(result.error.isWritten ? TryInput.Lost : TryInput.Unwritten);
 			lease.release(context.signal.aborted ? ExchangeEnd.Cancelled : ExchangeEnd.Lost);
 			return err(this._explainFailure(context, result.error));
 		}
 
 		const answer = result.value;
+		record.apply(TryInput.AnswerStarted);
 		if (this._isProvenRefusal(service, answer)) {
 			answer.body.discard();
 			connection.dispose();
-			context.isDispatched = false;
+			record.apply(TryInput.Refused);
 			context.excludedTargets.push(target.id);
 			lease.release(ExchangeEnd.Refused);
 			return err(new RequestError(ErrorKind.TargetRefused, `target ${target.id} answered ${answer.status} as not run`));
 		}
 
+		if (!hasStatedEnd(context.request.method ?? 'GET', answer.status, answer.rawHeaders)) {
+			connection.dispose();
+			record.apply(TryInput.Lost);
+			lease.release(ExchangeEnd.Failed);
+			return err(new RequestError(ErrorKind.AnswerCut, `the answer of target ${target.id} states neither length nor chunks`));
+		}
+
 		const settle = (isWhole: boolean) => {
+			record.apply(isWhole ? TryInput.AnswerWhole : TryInput.Lost);
 			if (isWhole) {
-				this._options.connections.releaseConnection(target, connection);
+				this._options.connections.releaseConnection(connection);
 			} else {
 				connection.dispose();
 			}
@@ -90,6 +137,10 @@
 		return ok(answer);
 	}
 
+	private _computeSilenceLimit(context: RequestContext): number {
+		return Math.max(minSilenceMs, (context.deadlineAt - this._options.clock.now()) / silenceDivisor);
+	}
+
 	private _createHeaders(context: RequestContext): string[] {
 		const remainingMs = Math.max(1, Math.floor(context.deadlineAt - this._options.clock.now()));
 		const headers = stripHopHeaders(context.request.rawHeaders, [HeaderName.Timeout]);
--- a/src/filters/request-context.ts
+++ b/src/filters/request-context.ts
@@ -3,6 +3,7 @@
 import type {RequestRule} from '../common/request-rule.js';
 import type {ServiceSpec} from '../common/service-spec.js';
 import type {SlotLease} from '../common/slot-lease.js';
+import {OutcomeLedger} from '../policy/outcome-ledger.js';
 
 /** What the filters know of one request, or of one try of it; each filter fills in its own fields. */
 export class RequestContext {
@@ -19,15 +20,14 @@
 	/** Set by the admit filter. */
 	lease: SlotLease | undefined;
 	private readonly _abort = new AbortController();
-	private readonly _attempts: RequestContext[] = [];
-	private _isDispatched = false;
 
 	/**
 	@param request - The caller's request.
 	@param response - Where the answer goes.
 	@param receivedAt - Arrival of the headers on the instance's clock, in ms.
+	@param ledger - Records all tries of the request; shared by their contexts.
 	*/
-	constructor(readonly request: IncomingMessage, readonly response: ServerResponse, readonly receivedAt: number) {}
+	constructor(readonly request: IncomingMessage, readonly response: ServerResponse, readonly receivedAt: number, readonly ledger = new OutcomeLedger()) {}
 
 	/** Aborted when the caller has gone, the deadline has expired or the try is no longer needed; the reason is a request error. */
 	get signal(): AbortSignal {
@@ -36,22 +36,17 @@
 
 	/** True once a byte of the request, or of one of its tries, may have reached a target. */
 	get isDispatched(): boolean {
-		return this._isDispatched || this._attempts.some(attempt => attempt.isDispatched);
-	}
-
-	set isDispatched(value: boolean) {
-		this._isDispatched = value;
+		return this.ledger.isDispatched;
 	}
 
 	/** Creates the context of a further try; ending the request ends the try, not the other way round. */
 	createAttempt(attempt: number): RequestContext {
-		const child = new RequestContext(this.request, this.response, this.receivedAt);
+		const child = new RequestContext(this.request, this.response, this.receivedAt, this.ledger);
 		child.service = this.service;
 		child.rule = this.rule;
 		child.deadlineAt = this.deadlineAt;
 		child.attempt = attempt;
 		child.excludedTargets = this.excludedTargets;
-		this._attempts.push(child);
 		if (this.signal.aborted) {
 			child.abort(this.signal.reason as RequestError);
 		} else {
