Add the baseline policies and the settings key decisions

Measurements need other ways of choosing a target beside the product's own. decisions.policy selects round robin, least outstanding by local knowledge or a probe pool with two probes a request; they hold nothing at the entry. The default stays the scheduler that holds requests until a slot is free.

--- a/src/bin/entry-daemon.ts
+++ b/src/bin/entry-daemon.ts
@@ -10,10 +10,10 @@
 import type {ServiceSpec} from '../common/service-spec.js';
 import {ConfigurationController} from '../controllers/configuration-controller.js';
 import {ConnectionController} from '../controllers/connection-controller.js';
+import {createScheduler} from '../controllers/create-scheduler.js';
 import {MembershipController} from '../controllers/membership-controller.js';
 import {PeerController} from '../controllers/peer-controller.js';
 import {RouteController} from '../controllers/route-controller.js';
-import {ScheduleController} from '../controllers/schedule-controller.js';
 import {AdmitFilter} from '../filters/admit-filter.js';
 import {AnswerFilter} from '../filters/answer-filter.js';
 import {ClassifyFilter} from '../filters/classify-filter.js';
@@ -24,6 +24,7 @@
 import {RetryFilter} from '../filters/retry-filter.js';
 import {DebugLogger} from '../io/debug-logger.js';
 import {HttpListener} from '../io/http-listener.js';
+import {LoadClient} from '../io/load-client.js';
 import {PeerServer} from '../io/peer/peer-server.js';
 import {PlatformClient} from '../io/platform-client.js';
 import {systemClock} from '../io/system-clock.js';
@@ -117,7 +118,10 @@
 	private _createChain(): FilterChain {
 		const {limits} = this._settings;
 		const connections = this._store.add(new ConnectionController({connectTimeoutMs: limits.connectTimeoutMs, clock: systemClock}));
-		const scheduler = this._store.add(new ScheduleController(systemClock));
+		const loadClient = this._store.add(new LoadClient());
+		const scheduler = this._store.add(createScheduler({
+			decisions: this._settings.decisions, clock: systemClock, random: Math.random, queryLoad: async (service, target) => loadClient.queryLoad(service, target),
+		}));
 		const getConnectionLimit = (service: ServiceSpec) => Math.max(1, Math.floor(service.connectionsPerTarget / this._members.maxInstances));
 		return new FilterChain([
 			new AnswerFilter(),
--- a/src/common/entry-settings-schema.ts
+++ b/src/common/entry-settings-schema.ts
@@ -1,4 +1,5 @@
 import {z} from 'zod';
+import {DecisionPolicy} from './decision-policy.js';
 
 const port = z.int().min(0).max(65_535);
 const listener = (defaultPort: number) => z.strictObject({
@@ -70,6 +71,18 @@
 		/** Time for which callers may use a route answer, in ms. */
 		lifetimeMs: z.int().min(100).max(600_000).default(2000),
 	}).prefault({}),
+	decisions: z.strictObject({
+		/** How targets are chosen; all but `rattansill` are baselines for measurements. */
+		policy: z.enum(DecisionPolicy).default(DecisionPolicy.Rattansill),
+		/** Time for which changes of the in-flight counts are gathered before they are sent to the other entries of a service, in ms. */
+		shareIntervalMs: z.int().min(1).max(10_000).default(10),
+		/** Age at which a peer's counts are no longer believed, in ms. */
+		shareExpiryMs: z.int().min(10).max(60_000).default(1000),
+		/** Share of a service's slots that an instance outside the service's entry set may use. */
+		cautiousShare: z.number().min(0).max(1).default(0.25),
+		/** Whether short idempotent requests are hedged. */
+		hedging: z.boolean().default(true),
+	}).prefault({}),
 	shutdown: z.strictObject({
 		/** Longest time from the signal to the exit, in ms. */
 		limitMs: z.int().min(0).max(3_600_000).default(30_000),
