--- a/src/policy/outcome-ledger.test.ts
+++ b/src/policy/outcome-ledger.test.ts
@@ -28,18 +28,16 @@
 	}
 };
 
-const {Queued, Connecting, Dispatched, Answering, Settled} = TryStage;
-
 /** What can happen to one try; the item knows what reached the target, the ledger only sees its own end. */
 const steps = {
 	connect(item: Item) {
-		applyAt(item, [Queued], TryInput.Connect);
+		applyAt(item, [TryStage.Queued], TryInput.Connect);
 	},
 	connectFailed(item: Item) {
-		applyAt(item, [Connecting], TryInput.GiveUp);
+		applyAt(item, [TryStage.Connecting], TryInput.GiveUp);
 	},
 	dispatch(item: Item) {
-		applyAt(item, [Connecting], TryInput.Dispatch);
+		applyAt(item, [TryStage.Connecting], TryInput.Dispatch);
 	},
 	partial(item: Item) {
 		sendBytes(item, false);
@@ -48,26 +46,26 @@
 		sendBytes(item, true);
 	},
 	refuse(item: Item) {
-		if (item.record.stage === Answering && !item.hasRun) {
+		if (item.record.stage === TryStage.Answering && !item.hasRun) {
 			item.record.apply(TryInput.Refused);
 			item.hasRefused = true;
 		}
 	},
 	head(item: Item) {
 		if (item.hasWritten) {
-			applyAt(item, [Dispatched], TryInput.AnswerStarted);
+			applyAt(item, [TryStage.Dispatched], TryInput.AnswerStarted);
 		}
 	},
 	whole(item: Item) {
 		if (item.hasRun) {
-			applyAt(item, [Answering, Settled], TryInput.AnswerWhole);
+			applyAt(item, [TryStage.Answering, TryStage.Settled], TryInput.AnswerWhole);
 		}
 	},
 	cut(item: Item) {
-		applyAt(item, [Answering, Settled], TryInput.Lost);
+		applyAt(item, [TryStage.Answering, TryStage.Settled], TryInput.Lost);
 	},
 	cancel(item: Item) {
-		const isBefore = item.record.stage === Queued || item.record.stage === Connecting;
+		const isBefore = item.record.stage === TryStage.Queued || item.record.stage === TryStage.Connecting;
 		const afterDispatch = item.hasWritten ? TryInput.Lost : TryInput.Unwritten;
 		item.record.apply(isBefore ? TryInput.GiveUp : afterDispatch);
 	},
