Send each service's callers to a small entry set

Cause: the placeholder named every live instance for every service, so callers spread over the whole fleet. Change: rendezvous hashing with bounded load over the live instances, spread over failure domains; the set is sized from the service's slots so that it carries them with one domain lost; answers prefer the caller's domain while the entries stay level. routes.entriesPerService and routes.maxEntriesPerService override the size. Ruled out: hysteresis by level, because instances with different histories would never agree; it is in time alone. Observed load does not size the set yet.

--- a/src/bin/entry-daemon.ts
+++ b/src/bin/entry-daemon.ts
@@ -70,7 +70,9 @@
 			this._members.acceptInstanceList(list);
 		}));
 		this._store.add(new PeerController(this._members));
-		this._routes = new RouteController(this._configuration, this._members, _settings.routes.lifetimeMs);
+		this._routes = this._store.add(new RouteController({
+			..._settings.routes, catalog: this._configuration, members: this._members, clock: systemClock, isListStale: () => false,
+		}));
 		this._chain = this._createChain();
 		this._dataListener = this._store.add(this._createDataListener());
 		this._routeListener = this._store.add(new HttpListener({}, (request, response) => {
--- a/src/common/entry-settings-schema.ts
+++ b/src/common/entry-settings-schema.ts
@@ -69,6 +69,12 @@
 	routes: z.strictObject({
 		/** Time for which callers may use a route answer, in ms. */
 		lifetimeMs: z.int().min(100).max(600_000).default(2000),
+		/** Entries of every service; computed from the service's size when absent. */
+		entriesPerService: z.int().min(1).max(65_536).optional(),
+		/** Most entries of a service; 1 sends all its callers to one entry. */
+		maxEntriesPerService: z.int().min(1).max(65_536).default(16),
+		/** Target slots that one entry carries. */
+		slotsPerEntry: z.int().min(1).max(1_000_000).default(64),
 	}).prefault({}),
 	shutdown: z.strictObject({
 		/** Longest time from the signal to the exit, in ms. */
--- a/src/controllers/route-controller.ts
+++ b/src/controllers/route-controller.ts
@@ -1,40 +1,128 @@
+import type {Clock} from '../common/clock.js';
+import type {DisposableLike} from '../common/disposable-like.js';
+import {DisposableStore} from '../common/disposable-store.js';
 import type {MemberDirectory} from '../common/member-directory.js';
 import {MemberState} from '../common/member-state.js';
 import type {Member} from '../common/member.js';
 import type {RouteAnswer} from '../common/route-answer.js';
 import type {RouteSource} from '../common/route-source.js';
 import type {ServiceCatalog} from '../common/service-catalog.js';
+import type {ServiceSpec} from '../common/service-spec.js';
+import {computeHash} from '../policy/compute-hash.js';
+import {advanceEntryCount} from '../policy/routes/advance-entry-count.js';
+import {assignEntries} from '../policy/routes/assign-entries.js';
+import {computeEntryCount} from '../policy/routes/compute-entry-count.js';
+import type {EntryCountState} from '../policy/routes/entry-count-state.js';
+import {sortEntries} from '../policy/routes/sort-entries.js';
+
+type RouteOptions = {
+	readonly catalog: ServiceCatalog;
+	readonly members: MemberDirectory;
+	readonly clock: Clock;
+	/** Time for which callers may use an answer, in ms. */
+	readonly lifetimeMs: number;
+	/** Entries of every service; computed from its load when undefined. */
+	readonly entriesPerService?: number | undefined;
+	readonly maxEntriesPerService: number;
+	/** Target slots that one entry carries. */
+	readonly slotsPerEntry: number;
+	/** True when the instance list is old. */
+	readonly isListStale: () => boolean;
+};
+
+/** An assignment is computed anew at least this often, because the number of entries also changes with time, in ms. */
+const refreshMs = 5000;
+
+const computeLoad = (service: ServiceSpec): number => service.slotsPerTarget * Math.max(1, service.targets.length);
 
 /** Answers which entry instances serve a service. */
-export class RouteController implements RouteSource {
-	constructor(
-		private readonly _catalog: ServiceCatalog,
-		private readonly _members: MemberDirectory,
-		private readonly _lifetimeMs: number,
-	) {}
+export class RouteController implements RouteSource, DisposableLike {
+	private readonly _store = new DisposableStore();
+	private readonly _counts = new Map<string, EntryCountState>();
+	private _entries = new Map<string, Member[]>();
+	private _validUntil = Number.NEGATIVE_INFINITY;
+	private _sequence = 0;
+
+	constructor(private readonly _options: RouteOptions) {
+		const expire = () => {
+			this._validUntil = Number.NEGATIVE_INFINITY;
+		};
+
+		this._store.add(_options.members.onMembersChanged(expire));
+		this._store.add(_options.catalog.onServiceChanged(expire));
+		this._store.add(_options.catalog.onServiceRemoved(expire));
+	}
 
 	answerRoute(service: string, callerDomain: string | undefined): RouteAnswer | undefined {
-		if (this._catalog.getService(service) === undefined) {
+		if (this._options.catalog.getService(service) === undefined) {
 			return undefined;
 		}
 
 		const entries = this.listEntries(service);
-		const near = entries.filter(member => member.instance.failureDomain === callerDomain);
-		const far = entries.filter(member => member.instance.failureDomain !== callerDomain);
-		const addresses = [...near, ...far].map(({instance}) => ({
-			instanceId: instance.id, host: instance.host, port: instance.dataPort, failureDomain: instance.failureDomain,
-		}));
+		const sorted = sortEntries(entries.map(member => ({id: member.instance.id, failureDomain: member.instance.failureDomain, member})), {
+			callerDomain, domainCount: this._listDomains().size, sequence: this._sequence++,
+		}).map(({member}) => member);
+		// A suspect stays in the set until it is known dead, but no caller should try it first.
+		const trusted = [...sorted.filter(member => member.state === MemberState.Alive), ...sorted.filter(member => member.state !== MemberState.Alive)];
 		return {
 			service,
-			addresses,
-			lifetimeMs: this._lifetimeMs,
-			version: entries.map(member => `${member.instance.id}.${member.incarnation}`).join(','),
-			stale: false,
-			leaving: this._members.self.state === MemberState.Leaving,
+			addresses: trusted.map(({instance}) => ({
+				instanceId: instance.id, host: instance.host, port: instance.dataPort, failureDomain: instance.failureDomain,
+			})),
+			lifetimeMs: this._options.lifetimeMs,
+			version: this._computeVersion(entries),
+			stale: this._options.isListStale(),
+			leaving: this._options.members.self.state === MemberState.Leaving,
 		};
 	}
 
-	listEntries(_service: string): readonly Member[] {
-		return this._members.listMembers().filter(member => member.state === MemberState.Alive);
+	listEntries(service: string): readonly Member[] {
+		const now = this._options.clock.now();
+		if (now >= this._validUntil) {
+			this._assignAll(now);
+		}
+
+		return this._entries.get(service) ?? [];
+	}
+
+	dispose(): void {
+		this._store.dispose();
+	}
+
+	private _assignAll(now: number): void {
+		const members = this._listEligible();
+		const domainCount = this._listDomains().size;
+		const demands = this._options.catalog.listServices().map(service => {
+			const load = computeLoad(service);
+			return {name: service.name, load, entryCount: this._computeCount(service.name, load, domainCount, now)};
+		});
+		const assigned = assignEntries(demands, members.map(member => ({id: member.instance.id, failureDomain: member.instance.failureDomain, member})));
+		this._entries = new Map([...assigned].map(([name, entries]) => [name, entries.map(({member}) => member)]));
+		this._validUntil = now + refreshMs;
+	}
+
+	private _computeCount(service: string, load: number, domainCount: number, now: number): number {
+		const {entriesPerService, maxEntriesPerService, slotsPerEntry} = this._options;
+		if (entriesPerService !== undefined) {
+			return Math.min(entriesPerService, maxEntriesPerService);
+		}
+
+		const wanted = computeEntryCount(load, domainCount, {loadPerEntry: slotsPerEntry, maxEntries: maxEntriesPerService});
+		const state = advanceEntryCount(this._counts.get(service), wanted, now);
+		this._counts.set(service, state);
+		return state.count;
+	}
+
+	private _listEligible(): readonly Member[] {
+		return this._options.members.listMembers().filter(({state}) => state === MemberState.Alive || state === MemberState.Suspect);
+	}
+
+	private _listDomains(): Set<string> {
+		return new Set(this._listEligible().map(member => member.instance.failureDomain));
+	}
+
+	private _computeVersion(entries: readonly Member[]): string {
+		const text = entries.map(({instance, incarnation}) => `${instance.id}/${incarnation}/${instance.host}:${instance.dataPort}`).sort().join(' ');
+		return computeHash(text).toString(16).padStart(8, '0');
 	}
 }
--- /dev/null
+++ b/src/policy/routes/compute-entry-count.ts
@@ -0,0 +1,21 @@
+type EntryCountLimits = {
+	/** Load that one entry carries, in target slots. */
+	readonly loadPerEntry: number;
+	/** Most entries of a service. */
+	readonly maxEntries: number;
+};
+
+/** Computes the smallest number of entries that carries a load with one failure domain lost. */
+export const computeEntryCount = (load: number, domainCount: number, limits: EntryCountLimits): number => {
+	const needed = Math.max(1, Math.ceil(load / limits.loadPerEntry));
+	if (domainCount <= 1) {
+		return Math.min(limits.maxEntries, needed + 1);
+	}
+
+	let count = needed + 1;
+	while (count - Math.ceil(count / domainCount) < needed) {
+		count++;
+	}
+
+	return Math.min(limits.maxEntries, count);
+};
