--- a/src/bin/entry-daemon.ts
+++ b/src/bin/entry-daemon.ts
@@ -8,19 +8,21 @@
 import type {ServiceSpec} from '../common/service-spec.js';
 import {ConfigurationController} from '../controllers/configuration-controller.js';
 import {ConnectionController} from '../controllers/connection-controller.js';
+import {createScheduler} from '../controllers/create-scheduler.js';
 import {MembershipController} from '../controllers/membership-controller.js';
 import {PeerController} from '../controllers/peer-controller.js';
 import {RouteController} from '../controllers/route-controller.js';
-import {ScheduleController} from '../controllers/schedule-controller.js';
 import {AdmitFilter} from '../filters/admit-filter.js';
 import {AnswerFilter} from '../filters/answer-filter.js';
 import {ClassifyFilter} from '../filters/classify-filter.js';
 import {DeadlineFilter} from '../filters/deadline-filter.js';
 import {DispatchFilter} from '../filters/dispatch-filter.js';
 import {FilterChain} from '../filters/filter-chain.js';
+import {OutcomeFilter} from '../filters/outcome-filter.js';
 import {RetryFilter} from '../filters/retry-filter.js';
 import {DebugLogger} from '../io/debug-logger.js';
 import {HttpListener} from '../io/http-listener.js';
+import {LoadClient} from '../io/load-client.js';
 import {PeerServer} from '../io/peer/peer-server.js';
 import {PlatformClient} from '../io/platform-client.js';
 import {systemClock} from '../io/system-clock.js';
@@ -68,7 +70,9 @@
 			this._members.acceptInstanceList(list);
 		}));
 		this._store.add(new PeerController(this._members));
-		this._routes = new RouteController(this._configuration, this._members, _settings.routes.lifetimeMs);
+		this._routes = this._store.add(new RouteController({
+			..._settings.routes, catalog: this._configuration, members: this._members, clock: systemClock, isListStale: () => false,
+		}));
 		this._chain = this._createChain();
 		this._dataListener = this._store.add(new DataListener({limits: _settings.limits, chain: this._chain, clock: systemClock}));
 		this._routeListener = this._store.add(new HttpListener({}, (request, response) => {
@@ -115,10 +119,14 @@
 	private _createChain(): FilterChain {
 		const {limits} = this._settings;
 		const connections = this._store.add(new ConnectionController({connectTimeoutMs: limits.connectTimeoutMs, clock: systemClock}));
-		const scheduler = this._store.add(new ScheduleController(systemClock));
+		const loadClient = this._store.add(new LoadClient());
+		const scheduler = this._store.add(createScheduler({
+			decisions: this._settings.decisions, clock: systemClock, random: Math.random, queryLoad: async (service, target) => loadClient.queryLoad(service, target),
+		}));
 		const getConnectionLimit = (service: ServiceSpec) => Math.max(1, Math.floor(service.connectionsPerTarget / this._members.maxInstances));
 		return new FilterChain([
 			new AnswerFilter(),
+			new OutcomeFilter(),
 			new ClassifyFilter(this._configuration),
 			new DeadlineFilter(systemClock),
 			new RetryFilter(),
