Trace each hop, measure requests and let no receiver hold one up

Cause: metrics and traces had settings but no code, and a log reader that went away ended the process (EPIPE), one that stopped reading made it grow. Log lines wait in at most 1 MiB. Ruled out: instrumentation packages, which would patch http for every hop whether sampled or not.

--- a/src/bin/entry-daemon.ts
+++ b/src/bin/entry-daemon.ts
@@ -18,8 +18,17 @@
 import {DeadlineFilter} from '../filters/deadline-filter.js';
 import {DispatchFilter} from '../filters/dispatch-filter.js';
 import {FilterChain} from '../filters/filter-chain.js';
+import type {Filter} from '../filters/filter.js';
+import {MeasureFilter} from '../filters/measure-filter.js';
+import {TraceFilter} from '../filters/trace-filter.js';
+import {TraceTryFilter} from '../filters/trace-try-filter.js';
 import {OutcomeFilter} from '../filters/outcome-filter.js';
 import {RetryFilter} from '../filters/retry-filter.js';
+import type {Metrics} from '../common/metrics.js';
+import {disabledMetrics} from '../io/disabled-metrics.js';
+import {OtlpTracer} from '../io/otlp-tracer.js';
+import {ProcessMetrics} from '../io/process-metrics.js';
+import {StatsdMetrics} from '../io/statsd-metrics.js';
 import {DebugLogger} from '../io/debug-logger.js';
 import {HttpListener} from '../io/http-listener.js';
 import {LoadClient} from '../io/load-client.js';
@@ -50,6 +59,7 @@
 export class EntryDaemon implements DisposableLike {
 	private readonly _store = new DisposableStore();
 	private readonly _logger: DebugLogger;
+	private readonly _metrics: Metrics;
 	private readonly _members: MembershipController;
 	private readonly _configuration: ConfigurationController;
 	private readonly _routes: RouteController;
@@ -61,6 +71,7 @@
 
 	constructor(private readonly _settings: EntrySettings) {
 		this._logger = new DebugLogger(_settings.instance.id, 'entry');
+		this._metrics = _settings.metrics.enabled ? this._store.add(new StatsdMetrics({..._settings.metrics, instanceId: _settings.instance.id})) : disabledMetrics;
 		this._members = this._store.add(new MembershipController(createInstance(_settings), Date.now()));
 		const platform = this._store.add(new PlatformClient(_settings.platform.urls[0] ?? ''));
 		this._configuration = this._store.add(new ConfigurationController({
@@ -75,6 +86,14 @@
 		}));
 		this._chain = this._createChain();
 		this._dataListener = this._store.add(new DataListener({limits: _settings.limits, chain: this._chain, clock: systemClock}));
+		if (_settings.metrics.enabled) {
+			this._store.add(new ProcessMetrics(this._metrics, report => {
+				this._dataListener.listener.server.getConnections((_error, count) => {
+					report(count ?? 0);
+				});
+			}));
+		}
+
 		this._routeListener = this._store.add(new HttpListener({}, (request, response) => {
 			this._answerRoute(request, response);
 		}));
@@ -125,16 +144,33 @@
 		}));
 		const getConnectionLimit = (service: ServiceSpec) => Math.max(1, Math.floor(service.connectionsPerTarget / this._members.maxInstances));
 		return new FilterChain([
+			...this._createObservers(),
 			new AnswerFilter(),
 			new OutcomeFilter(),
 			new ClassifyFilter(this._configuration),
 			new DeadlineFilter(systemClock),
 			new RetryFilter(),
 			new AdmitFilter(scheduler),
+			...(this._settings.tracing.enabled ? [new TraceTryFilter()] : []),
 			new DispatchFilter({connections, clock: systemClock, getConnectionLimit}),
 		]);
 	}
 
+	/** The filters that only watch; what is switched off costs nothing. */
+	private _createObservers(): Filter[] {
+		const {tracing, metrics, instance} = this._settings;
+		const observers: Filter[] = [];
+		if (metrics.enabled) {
+			observers.push(new MeasureFilter(this._metrics, systemClock));
+		}
+
+		if (tracing.enabled) {
+			observers.push(new TraceFilter(this._store.add(new OtlpTracer({...tracing, instanceId: instance.id, failureDomain: instance.failureDomain}))));
+		}
+
+		return observers;
+	}
+
 	private _answerRoute(request: IncomingMessage, response: ServerResponse): void {
 		const url = new URL(request.url ?? '/', 'http://localhost');
 		const [, root, service, ...rest] = url.pathname.split('/');
--- a/src/common/header-names.ts
+++ b/src/common/header-names.ts
@@ -8,6 +8,8 @@
 	IdempotencyKey = 'idempotency-key',
 	/** W3C trace context. */
 	TraceParent = 'traceparent',
+	/** Vendors' part of the W3C trace context. */
+	TraceState = 'tracestate',
 	/** Load report that rides on an answer, in the text format of ORCA. */
 	LoadReport = 'endpoint-load-metrics',
 }
--- a/src/filters/dispatch-filter.ts
+++ b/src/filters/dispatch-filter.ts
@@ -143,8 +143,9 @@
 
 	private _createHeaders(context: RequestContext): string[] {
 		const remainingMs = Math.max(1, Math.floor(context.deadlineAt - this._options.clock.now()));
-		const headers = stripHopHeaders(context.request.rawHeaders, [HeaderName.Timeout]);
-		headers.push(HeaderName.Timeout, String(remainingMs));
+		const omitted = context.span === undefined ? [HeaderName.Timeout] : [HeaderName.Timeout, HeaderName.TraceParent, HeaderName.TraceState];
+		const headers = stripHopHeaders(context.request.rawHeaders, omitted);
+		headers.push(HeaderName.Timeout, String(remainingMs), ...(context.span?.headers ?? []));
 		return headers;
 	}
 
--- a/src/filters/request-context.ts
+++ b/src/filters/request-context.ts
@@ -3,6 +3,7 @@
 import type {RequestRule} from '../common/request-rule.js';
 import type {ServiceSpec} from '../common/service-spec.js';
 import type {SlotLease} from '../common/slot-lease.js';
+import type {TraceSpan} from '../common/trace-span.js';
 import {OutcomeLedger} from '../policy/outcome-ledger.js';
 
 /** What the filters know of one request, or of one try of it; each filter fills in its own fields. */
@@ -19,6 +20,8 @@
 	excludedTargets: string[] = [];
 	/** Set by the admit filter. */
 	lease: SlotLease | undefined;
+	/** Set by the trace filter when traces are on; a try's own while it runs. */
+	span: TraceSpan | undefined;
 	private readonly _abort = new AbortController();
 
 	/**
@@ -45,6 +48,7 @@
 		child.service = this.service;
 		child.rule = this.rule;
 		child.deadlineAt = this.deadlineAt;
+		child.span = this.span;
 		child.attempt = attempt;
 		child.excludedTargets = this.excludedTargets;
 		if (this.signal.aborted) {
--- a/src/io/debug-logger.ts
+++ b/src/io/debug-logger.ts
@@ -5,6 +5,9 @@
 
 type Fields = Readonly<Record<string, unknown>>;
 
+/** Bytes of log lines that wait for their reader. */
+const maxWaitingBytes = 1_048_576;
+
 const describeField = (_key: string, value: unknown): unknown => value instanceof Error ? value.message : value;
 
 /**
@@ -15,8 +18,13 @@
 	/** Selects the namespaces that are printed, for the whole process. */
 	static enableNamespaces(namespaces: string): void {
 		createDebug.formatArgs = () => undefined;
+		// A reader that has gone away must not end the process.
+		process.stderr.on('error', () => undefined);
 		createDebug.log = (...parts: unknown[]) => {
-			process.stderr.write(`${format(...parts)}\n`);
+			// A reader that has stopped reading must not make the process grow; the lines are lost.
+			if (process.stderr.writableLength < maxWaitingBytes) {
+				process.stderr.write(`${format(...parts)}\n`);
+			}
 		};
 
 		createDebug.enable(namespaces);
