Stop an entry in phases: announce, serve on, finish, end

Cause: a signal closed listeners and connections at once and cut what was in flight. Change: ShutdownController with a pure state machine; SIGTERM marks the instance leaving, serves for the lifetime of a route answer and the time in which peers learn of it, closes connections between requests, ends when nothing is in flight; a second signal skips the time of serving on, a third or the limit ends requests in flight with their honest outcome (exit code 1).

--- a/src/bin/entry-daemon.ts
+++ b/src/bin/entry-daemon.ts
@@ -14,6 +14,7 @@
 import {MembershipController} from '../controllers/membership-controller.js';
 import {PeerController} from '../controllers/peer-controller.js';
 import {RouteController} from '../controllers/route-controller.js';
+import {ShutdownController} from '../controllers/shutdown-controller.js';
 import {AdmitFilter} from '../filters/admit-filter.js';
 import {AnswerFilter} from '../filters/answer-filter.js';
 import {ClassifyFilter} from '../filters/classify-filter.js';
@@ -23,6 +24,7 @@
 import {OutcomeFilter} from '../filters/outcome-filter.js';
 import {RequestContext} from '../filters/request-context.js';
 import {RetryFilter} from '../filters/retry-filter.js';
+import {ShutdownFilter} from '../filters/shutdown-filter.js';
 import {DebugLogger} from '../io/debug-logger.js';
 import {HttpListener} from '../io/http-listener.js';
 import {LoadClient} from '../io/load-client.js';
@@ -30,6 +32,9 @@
 import {PlatformClient} from '../io/platform-client.js';
 import {systemClock} from '../io/system-clock.js';
 
+/** Time within which the peers' route answers no longer name an instance that is leaving, in ms. */
+const tellPeersMs = 1000;
+
 const createInstance = (settings: EntrySettings): Instance => ({
 	id: settings.instance.id,
 	host: settings.instance.host,
@@ -55,6 +60,7 @@
 	private readonly _members: MembershipController;
 	private readonly _configuration: ConfigurationController;
 	private readonly _routes: RouteController;
+	private readonly _shutdown: ShutdownController;
 	private readonly _chain: FilterChain;
 	private readonly _dataListener: HttpListener;
 	private readonly _routeListener: HttpListener;
@@ -75,6 +81,7 @@
 		this._routes = this._store.add(new RouteController({
 			..._settings.routes, catalog: this._configuration, members: this._members, clock: systemClock, isListStale: () => false,
 		}));
+		this._shutdown = this._store.add(this._createShutdown());
 		this._chain = this._createChain();
 		this._dataListener = this._store.add(this._createDataListener());
 		this._routeListener = this._store.add(new HttpListener({}, (request, response) => {
@@ -114,10 +121,37 @@
 		};
 	}
 
+	/** Begins a planned stop, or hastens one that has begun. */
+	handleSignal(): void {
+		this._shutdown.handleSignal();
+	}
+
+	/** Resolves at the end of a planned stop with the number of requests that it cut. */
+	async waitUntilStopped(): Promise<number> {
+		return this._shutdown.waitUntilEnded();
+	}
+
 	dispose(): void {
 		this._store.dispose();
 	}
 
+	private _createShutdown(): ShutdownController {
+		const {routes, shutdown} = this._settings;
+		return new ShutdownController({
+			announceLeaving: () => {
+				this._members.markLeaving();
+			},
+			closeIdle: () => {
+				const {server} = this._dataListener;
+				server.close();
+				server.closeIdleConnections();
+			},
+			servingMs: routes.lifetimeMs + tellPeersMs,
+			limitMs: shutdown.limitMs,
+			logger: this._logger,
+		});
+	}
+
 	private _createChain(): FilterChain {
 		const {limits} = this._settings;
 		const connections = this._store.add(new ConnectionController({connectTimeoutMs: limits.connectTimeoutMs, clock: systemClock}));
@@ -127,6 +161,7 @@
 		}));
 		const getConnectionLimit = (service: ServiceSpec) => Math.max(1, Math.floor(service.connectionsPerTarget / this._members.maxInstances));
 		return new FilterChain([
+			new ShutdownFilter(this._shutdown),
 			new AnswerFilter(),
 			new OutcomeFilter(),
 			new ClassifyFilter(this._configuration),
--- a/src/bin/rattansill-entry.ts
+++ b/src/bin/rattansill-entry.ts
@@ -12,7 +12,8 @@
 	static override paths = [Command.Default];
 	static override usage = Command.Usage({
 		description: 'Runs one entry instance until it is told to stop',
-		details: 'Exit codes: 0 after a planned stop, 2 for wrong settings, 3 when a listener cannot be opened.',
+		details: 'SIGTERM or SIGINT begins a planned stop, a second one shortens it, a third ends requests in flight. '
+			+ 'Exit codes: 0 after a planned stop, 1 when a stop had to end requests in flight, 2 for wrong settings, 3 when a listener cannot be opened.',
 		examples: [['Run with a settings file', '$0 --settings entry.json']],
 	});
 
@@ -30,6 +31,12 @@
 
 		DebugLogger.enableNamespaces(settings.value.log.namespaces);
 		const daemon = new EntryDaemon(settings.value);
+		const handleSignal = () => {
+			daemon.handleSignal();
+		};
+
+		process.on('SIGTERM', handleSignal);
+		process.on('SIGINT', handleSignal);
 		const started = await daemon.start();
 		if (started.isErr()) {
 			this.context.stderr.write(`${started.error.message}\n`);
@@ -37,12 +44,9 @@
 			return ExitCode.Unavailable;
 		}
 
-		await new Promise<void>(resolve => {
-			process.once('SIGTERM', resolve);
-			process.once('SIGINT', resolve);
-		});
+		const cutCount = await daemon.waitUntilStopped();
 		daemon.dispose();
-		return ExitCode.Success;
+		return cutCount === 0 ? ExitCode.Success : ExitCode.Failure;
 	}
 }
 
