--- a/src/bin/entry-daemon.ts
+++ b/src/bin/entry-daemon.ts
@@ -62,6 +62,7 @@
 	private readonly _routes: RouteController;
 	private readonly _shutdown: ShutdownController;
 	private readonly _chain: FilterChain;
+	private readonly _peers: PeerController;
 	private readonly _dataListener: HttpListener;
 	private readonly _routeListener: HttpListener;
 	private readonly _operatorListener: HttpListener;
@@ -77,7 +78,7 @@
 		this._store.add(this._configuration.onInstanceList(list => {
 			this._members.acceptInstanceList(list);
 		}));
-		this._store.add(new PeerController(this._members));
+		this._peers = this._store.add(new PeerController(this._members));
 		this._routes = this._store.add(new RouteController({
 			..._settings.routes, catalog: this._configuration, members: this._members, clock: systemClock, isListStale: () => false,
 		}));
@@ -90,7 +91,12 @@
 		this._operatorListener = this._store.add(new HttpListener({}, (_request, response) => {
 			writeJson(response, 200, this.describeStatus());
 		}));
-		this._peerServer = this._store.add(new PeerServer({describeSelf: () => this._members.self}));
+		this._peerServer = this._store.add(new PeerServer({
+			describeSelf: () => this._members.self,
+			acceptLeaving: (instanceId, incarnation) => {
+				this._members.acceptLeaving(instanceId, incarnation);
+			},
+		}));
 	}
 
 	/** Reads the configuration and opens the listeners; an error names the address that failed. */
@@ -140,6 +146,7 @@
 		return new ShutdownController({
 			announceLeaving: () => {
 				this._members.markLeaving();
+				void this._tellPeersOfLeaving();
 			},
 			closeIdle: () => {
 				const {server} = this._dataListener;
@@ -152,6 +159,13 @@
 		});
 	}
 
+	private async _tellPeersOfLeaving(): Promise<void> {
+		const {instance, incarnation} = this._members.self;
+		const peers = this._members.listMembers().flatMap(member => this._peers.getClient(member.instance.id) ?? []);
+		// A peer that cannot be reached learns it from the others or the instance list.
+		await Promise.allSettled(peers.map(async peer => peer.api.leave.announce.mutate({instanceId: instance.id, incarnation})));
+	}
+
 	private _createChain(): FilterChain {
 		const {limits} = this._settings;
 		const connections = this._store.add(new ConnectionController({connectTimeoutMs: limits.connectTimeoutMs, clock: systemClock}));
--- a/src/controllers/membership-controller.ts
+++ b/src/controllers/membership-controller.ts
@@ -6,9 +6,13 @@
 import {MemberState} from '../common/member-state.js';
 import type {Member} from '../common/member.js';
 
+/** Time for which a notice of leaving holds against a list that lags, in ms. */
+const leavingMemoryMs = 30_000;
+
 /** Keeps what this instance believes of the entry instances. */
 export class MembershipController implements MemberDirectory, DisposableLike {
 	private readonly _members = new Map<string, Member>();
+	private readonly _leaving = new Map<string, NodeJS.Timeout>();
 	private readonly _onMembersChanged = new Emitter<readonly Member[]>();
 	private _self: Member;
 	private _maxInstances = 1;
@@ -39,7 +43,7 @@
 		this._maxInstances = list.maxInstances;
 		this._members.clear();
 		for (const instance of list.instances) {
-			this._members.set(instance.id, {instance, incarnation: 0, state: instance.leaving ? MemberState.Leaving : MemberState.Alive});
+			this._members.set(instance.id, {instance, incarnation: 0, state: instance.leaving || this._leaving.has(instance.id) ? MemberState.Leaving : MemberState.Alive});
 		}
 
 		this._members.set(this._self.instance.id, this._self);
@@ -53,7 +57,24 @@
 		this._onMembersChanged.fire(this.listMembers());
 	}
 
+	/** Takes the notice of an instance that leaves; it holds until the list can have followed. */
+	acceptLeaving(instanceId: string, incarnation: number): void {
+		const member = this._members.get(instanceId);
+		clearTimeout(this._leaving.get(instanceId));
+		this._leaving.set(instanceId, setTimeout(() => {
+			this._leaving.delete(instanceId);
+		}, leavingMemoryMs).unref());
+		if (member !== undefined && instanceId !== this._self.instance.id) {
+			this._members.set(instanceId, {...member, incarnation, state: MemberState.Leaving});
+			this._onMembersChanged.fire(this.listMembers());
+		}
+	}
+
 	dispose(): void {
+		for (const timer of this._leaving.values()) {
+			clearTimeout(timer);
+		}
+
 		this._onMembersChanged.dispose();
 	}
 }
--- a/src/io/peer/peer-handlers.ts
+++ b/src/io/peer/peer-handlers.ts
@@ -4,4 +4,6 @@
 export type PeerHandlers = {
 	/** Answers who this instance is. */
 	readonly describeSelf: () => Member;
+	/** Takes the notice of an instance that leaves. */
+	readonly acceptLeaving: (instanceId: string, incarnation: number) => void;
 };
