Decide target and order by slot views and a queue with lanes

Cause: the first scheduler knew only its own counts and served waiting requests in order of arrival. Change: a waiting queue by class, size and try (earliest deadline in a lane, turns by work between interactive and booking, ageing at half of the time a request has), a view of each target's slots from own, peers' and reported counts, recent times of short requests, backoff, ejection with a floor, warm-up, and early refusal when the predicted wait passes the deadline. Budgets for probes and for retries and hedges.

--- a/src/bin/entry-daemon.ts
+++ b/src/bin/entry-daemon.ts
@@ -123,7 +123,7 @@
 		const connections = this._store.add(new ConnectionController({connectTimeoutMs: limits.connectTimeoutMs, clock: systemClock}));
 		const loadClient = this._store.add(new LoadClient());
 		const scheduler = this._store.add(createScheduler({
-			decisions: this._settings.decisions, clock: systemClock, random: Math.random, queryLoad: async (service, target) => loadClient.queryLoad(service, target),
+			decisions: this._settings.decisions, clock: systemClock, self: this._settings.instance, random: Math.random, queryLoad: async (service, target) => loadClient.queryLoad(service, target),
 		}));
 		const getConnectionLimit = (service: ServiceSpec) => Math.max(1, Math.floor(service.connectionsPerTarget / this._members.maxInstances));
 		return new FilterChain([
--- a/src/controllers/baseline-scheduler.ts
+++ b/src/controllers/baseline-scheduler.ts
@@ -11,8 +11,8 @@
 import type {SlotLease} from '../common/slot-lease.js';
 import type {SlotScheduler} from '../common/slot-scheduler.js';
 import type {TargetSpec} from '../common/target-spec.js';
-import {chooseLeastOutstanding} from '../policy/choose-least-outstanding.js';
-import {ProbePool} from '../policy/probe-pool.js';
+import {chooseLeastOutstanding} from '../policy/schedule/choose-least-outstanding.js';
+import {ProbePool} from '../policy/schedule/probe-pool.js';
 
 type BaselineOptions = {
 	readonly policy: Exclude<DecisionPolicy, DecisionPolicy.Rattansill>;
--- a/src/controllers/schedule-controller.ts
+++ b/src/controllers/schedule-controller.ts
@@ -1,103 +1,184 @@
 import {err, ok, type Result} from 'neverthrow';
 import type {Clock} from '../common/clock.js';
 import type {DisposableLike} from '../common/disposable-like.js';
+import {Emitter} from '../common/emitter.js';
+import type {EntrySettings} from '../common/entry-settings.js';
 import {ErrorKind} from '../common/error-kind.js';
+import type {Instance} from '../common/instance.js';
 import {RequestError} from '../common/request-error.js';
+import type {ServiceSpec} from '../common/service-spec.js';
 import type {SlotDemand} from '../common/slot-demand.js';
 import type {SlotLease} from '../common/slot-lease.js';
 import type {SlotScheduler} from '../common/slot-scheduler.js';
-import type {TargetSpec} from '../common/target-spec.js';
+import {ServiceScheduler} from '../policy/schedule/service-scheduler.js';
 
-type Waiter = {
-	readonly demand: SlotDemand;
-	readonly timer: NodeJS.Timeout;
+type Scheduler = ServiceScheduler<Waiter>;
+type Grant = NonNullable<ReturnType<Scheduler['tryGrant']>>;
+type Waiter = ReturnType<ServiceScheduler['createRequest']> & {
 	settle(result: Result<SlotLease, RequestError>): void;
 };
 
-/** Gives each request the target with the fewest requests in flight, and holds it while none has a free slot. */
+type ScheduleOptions = {
+	readonly clock: Clock;
+	readonly self: Pick<Instance, 'id' | 'failureDomain'>;
+	readonly decisions: EntrySettings['decisions'];
+};
+
+/** Time between looks at the queue while requests wait, in ms; ageing, backoff and warm-up free slots without an event. */
+const tickMs = 5;
+
+/** Holds each request at the entry until a slot is believed free at a good target. */
 export class ScheduleController implements SlotScheduler, DisposableLike {
-	private readonly _inFlight = new Map<string, number>();
-	private readonly _waiters: Waiter[] = [];
+	private readonly _schedulers = new Map<string, Scheduler>();
+	private readonly _onCountChanged = new Emitter<{readonly service: string; readonly targetId: string}>();
+	private _tick: NodeJS.Timeout | undefined;
 
-	constructor(private readonly _clock: Clock) {}
+	constructor(private readonly _options: ScheduleOptions) {}
+
+	/** Fires when this instance's requests in flight at a target changed. */
+	get onCountChanged() {
+		return this._onCountChanged.event;
+	}
 
 	async acquireSlot(demand: SlotDemand): Promise<Result<SlotLease, RequestError>> {
-		if (demand.service.targets.length === 0) {
-			return err(new RequestError(ErrorKind.NoTarget, `service ${demand.service.name} has no targets`));
+		const {clock} = this._options;
+		const scheduler = this.getScheduler(demand.service);
+		const now = clock.now();
+		if (!scheduler.load.hasUsableTarget(now)) {
+			return err(new RequestError(ErrorKind.NoTarget, `service ${demand.service.name} has no target that takes work`));
 		}
 
-		const lease = this.tryAcquireSlot(demand);
-		if (lease !== undefined) {
-			return ok(lease);
+		const request = scheduler.createRequest(demand, now);
+		const grant = scheduler.queue.size === 0 ? scheduler.tryGrant(request, now) : undefined;
+		if (grant !== undefined) {
+			return ok(this._createLease(scheduler, grant));
 		}
 
-		return new Promise(resolve => {
-			const waitMs = Math.max(0, demand.deadlineAt - this._clock.now());
-			const waiter: Waiter = {
-				demand,
-				settle: resolve,
-				timer: setTimeout(() => {
-					this._removeWaiter(waiter);
-					resolve(err(new RequestError(ErrorKind.DeadlineExpiredQueued, `no slot of service ${demand.service.name} became free in time`)));
-				}, waitMs),
-			};
-			this._waiters.push(waiter);
-		});
+		const retryAfterMs = scheduler.computeRetryAfter(request, now);
+		if (retryAfterMs !== undefined) {
+			return err(new RequestError(ErrorKind.DeadlineUnreachable, `the wait for a slot of service ${demand.service.name} would pass the deadline`, retryAfterMs));
+		}
+
+		return this._waitForSlot(scheduler, request);
 	}
 
 	tryAcquireSlot(demand: SlotDemand): SlotLease | undefined {
-		let best: TargetSpec | undefined;
-		let bestCount = demand.service.slotsPerTarget;
-		for (const target of demand.service.targets) {
-			const count = this._inFlight.get(target.id) ?? 0;
-			if (count < bestCount && !target.leaving && !demand.excludedTargets.includes(target.id)) {
-				best = target;
-				bestCount = count;
-			}
+		const now = this._options.clock.now();
+		const scheduler = this.getScheduler(demand.service);
+		const grant = scheduler.queue.size === 0 ? scheduler.tryGrant(scheduler.createRequest(demand, now), now) : undefined;
+		return grant === undefined ? undefined : this._createLease(scheduler, grant);
+	}
+
+	/** The scheduler of a service, brought up to its present spec. */
+	getScheduler(service: ServiceSpec): Scheduler {
+		const {clock, self, decisions} = this._options;
+		let scheduler = this._schedulers.get(service.name);
+		if (scheduler === undefined) {
+			scheduler = new ServiceScheduler<Waiter>(service, {instanceId: self.id, failureDomain: self.failureDomain, peerExpiryMs: decisions.shareExpiryMs});
+			this._schedulers.set(service.name, scheduler);
+		}
+
+		scheduler.load.updateSpec(service, clock.now());
+		return scheduler;
+	}
+
+	/** Gives waiting requests the slots that are believed free by now. */
+	serveQueue(scheduler: Scheduler): void {
+		for (const {item, grant} of scheduler.serveQueue(this._options.clock.now())) {
+			item.settle(ok(this._createLease(scheduler, grant)));
 		}
+	}
 
-		return best === undefined ? undefined : this._createLease(best);
+	/** Forgets a service that was removed; its waiting requests are refused. */
+	removeService(name: string): void {
+		const scheduler = this._schedulers.get(name);
+		this._schedulers.delete(name);
+		for (const waiter of scheduler?.queue.listItems() ?? []) {
+			waiter.settle(err(new RequestError(ErrorKind.UnknownService, `service ${name} was removed`)));
+		}
 	}
 
 	dispose(): void {
-		for (const waiter of this._waiters.splice(0)) {
-			clearTimeout(waiter.timer);
-			waiter.settle(err(new RequestError(ErrorKind.ShuttingDown, 'the instance is shutting down')));
+		clearTimeout(this._tick);
+		this._onCountChanged.dispose();
+		for (const scheduler of this._schedulers.values()) {
+			for (const waiter of scheduler.queue.listItems()) {
+				waiter.settle(err(new RequestError(ErrorKind.ShuttingDown, 'the instance is shutting down')));
+			}
 		}
+
+		this._schedulers.clear();
+	}
+
+	private async _waitForSlot(scheduler: Scheduler, request: Omit<Waiter, 'settle'>): Promise<Result<SlotLease, RequestError>> {
+		const {service, signal, deadlineAt} = request.demand;
+		return new Promise(resolve => {
+			const expire = () => {
+				waiter.settle(err(new RequestError(ErrorKind.DeadlineExpiredQueued, `no slot of service ${service.name} became free in time`)));
+			};
+
+			const abort = () => {
+				waiter.settle(err(signal?.reason as RequestError));
+			};
+
+			const timer = setTimeout(expire, Math.max(0, deadlineAt - this._options.clock.now()));
+			const waiter: Waiter = {
+				...request,
+				settle(result) {
+					clearTimeout(timer);
+					signal?.removeEventListener('abort', abort);
+					scheduler.queue.removeItem(waiter);
+					resolve(result);
+				},
+			};
+			if (!scheduler.queue.addItem(waiter)) {
+				waiter.settle(err(new RequestError(ErrorKind.QueueFull, `${scheduler.queue.size} requests of service ${service.name} wait already`)));
+				return;
+			}
+
+			signal?.addEventListener('abort', abort, {once: true});
+			if (signal?.aborted ?? false) {
+				abort();
+				return;
+			}
+
+			this.serveQueue(scheduler);
+			this._startTick();
+		});
 	}
 
-	private _createLease(target: TargetSpec): SlotLease {
-		this._inFlight.set(target.id, (this._inFlight.get(target.id) ?? 0) + 1);
+	private _createLease(scheduler: Scheduler, grant: Grant): SlotLease {
+		const {target, request} = grant;
+		const changed = {service: request.demand.service.name, targetId: target.id};
+		this._onCountChanged.fire(changed);
 		let isReleased = false;
 		return {
 			target,
-			release: () => {
+			release: (end, report) => {
 				if (isReleased) {
 					return;
 				}
 
 				isReleased = true;
-				this._inFlight.set(target.id, (this._inFlight.get(target.id) ?? 1) - 1);
-				this._serveWaiters();
+				scheduler.endGrant(grant, this._options.clock.now(), end, report);
+				this.serveQueue(scheduler);
+				this._onCountChanged.fire(changed);
 			},
 		};
 	}
 
-	private _serveWaiters(): void {
-		for (const waiter of this._waiters) {
-			const lease = this.tryAcquireSlot(waiter.demand);
-			if (lease !== undefined) {
-				this._removeWaiter(waiter);
-				waiter.settle(ok(lease));
+	private _startTick(): void {
+		this._tick ??= setTimeout(() => {
+			this._tick = undefined;
+			let isWaiting = false;
+			for (const scheduler of this._schedulers.values()) {
+				this.serveQueue(scheduler);
+				isWaiting ||= scheduler.queue.size > 0;
 			}
-		}
-	}
 
-	private _removeWaiter(waiter: Waiter): void {
-		clearTimeout(waiter.timer);
-		const index = this._waiters.indexOf(waiter);
-		if (index !== -1) {
-			this._waiters.splice(index, 1);
-		}
+			if (isWaiting) {
+				this._startTick();
+			}
+		}, tickMs);
 	}
 }
--- a/src/policy/choose-least-outstanding.ts
+++ b/src/policy/schedule/choose-least-outstanding.ts
@@ -1,4 +1,4 @@
-import type {RandomSource} from '../common/random-source.js';
+import type {RandomSource} from '../../common/random-source.js';
 
 type Candidate = {
 	/** Requests of this instance in flight. */
--- a/src/policy/probe-pool.ts
+++ b/src/policy/schedule/probe-pool.ts
@@ -1,4 +1,4 @@
-import type {LoadReport} from '../common/load-report.js';
+import type {LoadReport} from '../../common/load-report.js';
 
 type PooledReport = {
 	readonly targetId: string;
