--- a/src/policy/convert-error.ts
+++ b/src/policy/convert-error.ts
@@ -7,6 +7,9 @@
 	[ErrorKind.DeadlineExpiredQueued, ErrorKind.DeadlineExpiredDispatched],
 	[ErrorKind.InternalQueued, ErrorKind.InternalDispatched],
 	[ErrorKind.ConnectFailed, ErrorKind.ConnectionLost],
+	[ErrorKind.BodyTooLarge, ErrorKind.BodyTooLargeDispatched],
+	[ErrorKind.RequestTooSlow, ErrorKind.RequestTooSlowDispatched],
+	[ErrorKind.MalformedRequest, ErrorKind.BodyInterrupted],
 ]);
 const queuedKinds = new Map([...dispatchedKinds].map(([queued, dispatched]) => [dispatched, queued]));
 
