--- /dev/null
+++ b/test/observability-page.test.ts
@@ -0,0 +1,24 @@
+import {readdirSync, readFileSync} from 'node:fs';
+import path from 'node:path';
+import {expect, it} from 'vitest';
+import {projectRoot} from '../tools/site/project-root.js';
+
+const page = readFileSync(path.join(projectRoot, 'docs/OBSERVABILITY.md'), 'utf8');
+const source = readdirSync(path.join(projectRoot, 'src'), {recursive: true, encoding: 'utf8'})
+	.filter(file => file.endsWith('.ts') && !file.endsWith('.test.ts'))
+	.map(file => readFileSync(path.join(projectRoot, 'src', file), 'utf8'))
+	.join('\n');
+
+const listNames = (pattern: RegExp): string[] => [...new Set([...source.matchAll(pattern)].map(match => match.groups?.name ?? ''))].sort();
+const listRows = (heading: string): string[] => {
+	const section = page.split(`## ${heading}\n`)[1]?.split('\n## ')[0] ?? '';
+	return [...section.matchAll(/^\| `(?<name>[^`]+)`/gmv)].map(match => match.groups?.name ?? '').sort();
+};
+
+it.each([
+	{heading: 'Logs', pattern: /\.log(?:Error|Info|Debug)\(\s*'(?<name>[^']+)'/gv},
+	{heading: 'Metrics', pattern: /\.(?:countEvent|recordGauge|recordDuration)\(\s*'(?<name>[^']+)'/gv},
+	{heading: 'Traces', pattern: /(?:startSpan|startChild)\(\s*'(?<name>[^']+)'/gv},
+])('docs/OBSERVABILITY.md lists under "$heading" what the code sends', ({heading, pattern}) => {
+	expect(listRows(heading)).toEqual(listNames(pattern));
+});
--- a/test/observability.test.ts
+++ b/test/observability.test.ts
@@ -92,7 +92,11 @@
 
 	it.each([
 		{
-			name: 'a parent that is not sampled', traceparent: `00-${traceId}-${callerSpan}-00`, sampleRatio: 1, expected: new RegExp(`^00-${traceId}-(?!${callerSpan})[0-9a-f]{16}-00$`, 'v'), state: 'vendor=1',
+			name: 'a parent that is not sampled',
+			traceparent: `00-${traceId}-${callerSpan}-00`,
+			sampleRatio: 1,
+			state: 'vendor=1',
+			expected: new RegExp(`^00-${traceId}-(?!${callerSpan})[0-9a-f]{16}-00$`, 'v'),
 		},
 		{
 			name: 'a malformed parent', traceparent: `00-${traceId}-zz-01`, sampleRatio: 1, expected: new RegExp(`^00-(?!${traceId})[0-9a-f]{32}-[0-9a-f]{16}-01$`, 'v'), state: undefined,
