Add the load tool, the frame for experiments and the overhead experiment

Cause: decisions are to be measured on real processes, with the same arrivals for every arm. Change: rattansill-load run and list; open-loop callers in worker processes that ask routes; seeded arrivals with swings and crests; histograms; checks, tables and an HTML report with plots; the experiment overhead with a bare pipe as an arm. Ruled out: calibrating the load by processor time a call, since batching changes it with the load.

--- /dev/null
+++ b/tools/load/experiments/experiment-registry.ts
@@ -0,0 +1,7 @@
+import type {Experiment} from '../experiment.js';
+import {overheadExperiment} from './overhead.js';
+
+/** All experiments, in the order in which they are listed. */
+export const experimentRegistry: readonly Experiment[] = [
+	overheadExperiment,
+];
--- /dev/null
+++ b/tools/load/experiments/overhead.ts
@@ -0,0 +1,210 @@
+import {RequestClass} from '../../../src/common/request-class.js';
+import type {TargetSpec} from '../../../src/common/target-spec.js';
+import {WorkerProcess} from '../../process/worker-process.js';
+import {SiteName} from '../../site/site-name.js';
+import {Site} from '../../site/site.js';
+import {createSteadyDemand} from '../callers/create-steady-demand.js';
+import {CallOutcome} from '../callers/call-outcome.js';
+import {LoadFleet} from '../callers/load-fleet.js';
+import type {LoadPlan} from '../callers/load-plan.js';
+import type {ExperimentContext} from '../experiment-context.js';
+import type {Experiment} from '../experiment.js';
+import {LatencyHistogram} from '../measure/latency-histogram.js';
+import {readProcessUsage} from '../measure/read-process-usage.js';
+import type {ArmResult} from '../report/arm-result.js';
+import {createCheck} from '../report/create-check.js';
+import type {ExperimentResult} from '../report/experiment-result.js';
+
+type Arm = {
+	readonly name: string;
+	readonly pid: number | undefined;
+	readonly urls: readonly string[];
+};
+
+type Figures = {
+	readonly latencies: LatencyHistogram;
+	requests: number;
+	whole: number;
+	cpuMs: number;
+	peakBytes: number;
+};
+
+const service = 'lacefront';
+const loads = [0.1, 0.3, 0.6];
+const checkedLoad = 0.3;
+const rounds = 4;
+const defaultSeconds = 6;
+const carryingWorkers = 4;
+const carryingConcurrency = 16;
+const carryingMs = 2000;
+const warmUpMs = 1500;
+const bytesPerMegabyte = 1_048_576;
+const kinds = [{
+	name: 'lookup', method: 'GET' as const, path: '/styles/', requestClass: RequestClass.Interactive, isLong: false, share: 1, medianMs: 0, sigma: 0, deadlineMs: 2000,
+}];
+
+const createFigures = (): Figures => ({
+	latencies: new LatencyHistogram(), requests: 0, whole: 0, cpuMs: 0, peakBytes: 0,
+});
+
+/** Runs the arms of the experiment on one entry process. */
+class OverheadRun {
+	private readonly _loader: LoadFleet;
+	private readonly _carrier: LoadFleet;
+	private readonly _figures = new Map<string, Figures>();
+
+	constructor(private readonly _context: ExperimentContext, private readonly _arms: readonly Arm[]) {
+		this._loader = _context.store.add(new LoadFleet(1));
+		this._carrier = _context.store.add(new LoadFleet(carryingWorkers));
+	}
+
+	/** Measures what one arm carries, as whole answers a second with many requests always in flight. */
+	async measureCarried(arm: Arm): Promise<number> {
+		const plan = {...this._createPlan(arm, 1000, carryingMs, 0), concurrency: carryingConcurrency, isSpinning: false};
+		const samples = await this._carrier.run(Array.from({length: carryingWorkers}, (_, index) => ({...plan, name: `carried-${index}`})));
+		const late = samples.filter(sample => sample.atMs > carryingMs / 2 && sample.outcome === CallOutcome.Whole);
+		return late.length / (carryingMs / 2000);
+	}
+
+	/** Measures all arms at a rate, in alternating slices. */
+	async measure(load: number, ratePerSecond: number, seconds: number): Promise<void> {
+		for (let round = 0; round < rounds; round++) {
+			// The order turns from round to round, so that no arm always follows the same other one.
+			const order = this._arms.map((_, index) => this._arms[(index + round) % this._arms.length]!);
+			for (const arm of order) {
+				await this._runSlice(this.getFigures(arm.name, load), arm, this._createPlan(arm, ratePerSecond, seconds * 1000 / rounds, round));
+			}
+		}
+	}
+
+	/** Sends a load without recording it. */
+	async warmUp(ratePerSecond: number): Promise<void> {
+		for (const arm of this._arms) {
+			await this._loader.run([this._createPlan(arm, ratePerSecond, warmUpMs, 0)]);
+		}
+	}
+
+	/** Gets the figures of an arm at a load. */
+	getFigures(arm: string, load: number): Figures {
+		const key = `${arm} ${load}`;
+		const figures = this._figures.get(key) ?? createFigures();
+		this._figures.set(key, figures);
+		return figures;
+	}
+
+	private async _runSlice(figures: Figures, arm: Arm, plan: LoadPlan): Promise<void> {
+		const before = arm.pid === undefined ? undefined : await readProcessUsage(arm.pid);
+		const samples = await this._loader.run([plan]);
+		const after = arm.pid === undefined ? undefined : await readProcessUsage(arm.pid);
+		figures.requests += samples.length;
+		figures.cpuMs += (after?.cpuMs ?? 0) - (before?.cpuMs ?? 0);
+		figures.peakBytes = Math.max(figures.peakBytes, after?.residentBytes ?? 0);
+		for (const sample of samples) {
+			if (sample.outcome === CallOutcome.Whole) {
+				figures.whole++;
+				figures.latencies.record(sample.latencyMs);
+			}
+		}
+	}
+
+	private _createPlan(arm: Arm, ratePerSecond: number, durationMs: number, round: number): LoadPlan {
+		return {
+			name: `${arm.name}-${round}`,
+			service,
+			seed: (this._context.seed * 1000) + round,
+			demand: createSteadyDemand(ratePerSecond),
+			durationMs,
+			kinds,
+			callers: 16,
+			domains: ['kingston-1'],
+			routeUrls: [],
+			directUrls: arm.urls,
+			oneWayDelayMs: 0,
+			isSpinning: true,
+			concurrency: 0,
+		};
+	}
+}
+
+const startArms = async (context: ExperimentContext): Promise<Arm[]> => {
+	const site = context.store.add(new Site({
+		site: SiteName.Wigroom, entryCount: 1, services: [service], targetsPerService: 4, targetWorkers: 2,
+		parameters: {[service]: {slots: 256, longSlots: 256, connections: 4096}},
+	}));
+	await site.start();
+	const targets = site.parameters.get(service)?.values.targets as unknown as readonly TargetSpec[];
+	const urls = targets.map(target => `http://${target.host}:${target.port}`);
+	const pipe = context.store.add(new WorkerProcess<readonly string[]>('tools/load/pipe/bare-pipe-worker.js'));
+	const pipePort = await pipe.run<number>(urls);
+	return [
+		{name: 'direct', pid: undefined, urls},
+		{name: 'pipe', pid: pipe.pid, urls: [`http://127.0.0.1:${pipePort}`]},
+		{name: 'entry', pid: site.entries[0]?.pid, urls: [`http://127.0.0.1:${site.instances[0]?.dataPort}`]},
+	];
+};
+
+const createArmResult = (run: OverheadRun, name: string, load: number): ArmResult => {
+	const figures = run.getFigures(name, load);
+	const direct = run.getFigures('direct', load);
+	return {
+		name: `${name} ${load * 100}%`,
+		requests: figures.requests,
+		whole: figures.whole,
+		p50Ms: figures.latencies.getPercentile(50),
+		p99Ms: figures.latencies.getPercentile(99),
+		addedP50Ms: figures.latencies.getPercentile(50) - direct.latencies.getPercentile(50),
+		addedP99Ms: figures.latencies.getPercentile(99) - direct.latencies.getPercentile(99),
+		cpuMsPerCall: figures.cpuMs / figures.requests,
+		residentMb: figures.peakBytes / bytesPerMegabyte,
+	};
+};
+
+const createResult = (run: OverheadRun, arms: readonly Arm[], carried: number): ExperimentResult => {
+	const results = loads.flatMap(load => arms.map(arm => createArmResult(run, arm.name, load)));
+	const getFigure = (name: string, figure: string, load = checkedLoad) => Number(results.find(result => result.name === `${name} ${load * 100}%`)?.[figure]);
+	const failed = results.reduce((sum, result) => sum + Number(result.requests) - Number(result.whole), 0);
+	return {
+		arms: results,
+		checks: [
+			createCheck('p99 added by one hop at 30%', {atMost: 0.81, unit: 'ms'}, getFigure('entry', 'addedP99Ms')),
+			createCheck('p50 added, entry to bare pipe at 30%', {atMost: 1.5}, getFigure('entry', 'addedP50Ms') / getFigure('pipe', 'addedP50Ms')),
+			createCheck('processor time a call, entry to bare pipe at 30%', {atMost: 1.5}, getFigure('entry', 'cpuMsPerCall') / getFigure('pipe', 'cpuMsPerCall')),
+			createCheck('resident memory of the daemon', {atMost: 128, unit: 'MB'}, Math.max(...loads.map(load => getFigure('entry', 'residentMb', load)))),
+			createCheck('requests without a whole answer', {atMost: 0}, failed),
+		],
+		notes: [
+			`One entry carried ${Math.round(carried)} calls a second with ${carryingWorkers * carryingConcurrency} in flight; the loads are shares of this, the same for all arms.`,
+			'Targets answer at once, so that the figures are those of the hop; the arms alternate in slices.',
+		],
+		plots: [{
+			title: 'Latency by load and arm',
+			spec: {
+				data: {values: results.flatMap(result => [{arm: result.name, percentile: 'p50', ms: result.p50Ms}, {arm: result.name, percentile: 'p99', ms: result.p99Ms}])},
+				mark: 'bar',
+
+				encoding: {
+					x: {field: 'arm', type: 'nominal', sort: null}, xOffset: {field: 'percentile'}, y: {field: 'ms', type: 'quantitative'}, color: {field: 'percentile'},
+				},
+			},
+		}],
+	};
+};
+
+/** What one hop through an entry adds to a call, against a direct call and a bare pipe. */
+export const overheadExperiment: Experiment = {
+	name: 'overhead',
+	description: 'Time, processor time and memory of one hop at 10, 30 and 60% of what one entry carries',
+	async run(context) {
+		const arms = await startArms(context);
+		const run = new OverheadRun(context, arms);
+		await run.warmUp(500);
+		const carried = await run.measureCarried(arms.at(-1)!);
+		context.log(`one entry carries ${Math.round(carried)} calls a second`);
+		for (const load of loads) {
+			await run.measure(load, load * carried, context.seconds ?? defaultSeconds);
+			context.log(`load ${load * 100}% done`);
+		}
+
+		return createResult(run, arms, carried);
+	},
+};
--- /dev/null
+++ b/tools/load/report/create-check.ts
@@ -0,0 +1,17 @@
+import type {CheckResult} from './check-result.js';
+
+type Bound =
+	| {readonly atMost: number; readonly unit?: string}
+	| {readonly atLeast: number; readonly unit?: string};
+
+/** Creates a check from its bound and the measured value; a value that is not a number never holds. */
+export const createCheck = (name: string, bound: Bound, value: number): CheckResult => {
+	const unit = bound.unit === undefined ? '' : ` ${bound.unit}`;
+	return 'atMost' in bound
+		? {
+			name, target: `<= ${bound.atMost}${unit}`, value, holds: value <= bound.atMost,
+		}
+		: {
+			name, target: `>= ${bound.atLeast}${unit}`, value, holds: value >= bound.atLeast,
+		};
+};
--- a/tools/standins/target/target-exchange.ts
+++ b/tools/standins/target/target-exchange.ts
@@ -165,12 +165,27 @@
 			return;
 		}
 
-		// Timers take whole ms; rounding at random keeps the mean.
+		// Timers take whole ms; rounding at random keeps the mean. Where it gives 0 the shortest timer would be too long.
 		const wholeMs = Math.floor(delayMs + Math.random());
+		if (wholeMs === 0) {
+			setImmediate(() => {
+				this._continue(then);
+			});
+			return;
+		}
+
 		const timer = setTimeout(() => {
 			this._timers.delete(timer);
-			then();
+			this._continue(then);
 		}, wholeMs);
 		this._timers.add(timer);
 	}
+
+	private _continue(then: () => void): void {
+		if (this._options.response.destroyed) {
+			return;
+		}
+
+		then();
+	}
 }
