--- a/src/bin/entry-daemon.ts
+++ b/src/bin/entry-daemon.ts
@@ -4,9 +4,7 @@
 import {DisposableStore} from '../common/disposable-store.js';
 import type {DisposableLike} from '../common/disposable-like.js';
 import type {EntrySettings} from '../common/entry-settings.js';
-import {ErrorKind} from '../common/error-kind.js';
 import type {Instance} from '../common/instance.js';
-import {RequestError} from '../common/request-error.js';
 import type {ServiceSpec} from '../common/service-spec.js';
 import {ConfigurationController} from '../controllers/configuration-controller.js';
 import {ConnectionController} from '../controllers/connection-controller.js';
@@ -14,6 +12,7 @@
 import {MembershipController} from '../controllers/membership-controller.js';
 import {PeerController} from '../controllers/peer-controller.js';
 import {RouteController} from '../controllers/route-controller.js';
+import {ShutdownController} from '../controllers/shutdown-controller.js';
 import {AdmitFilter} from '../filters/admit-filter.js';
 import {AnswerFilter} from '../filters/answer-filter.js';
 import {ClassifyFilter} from '../filters/classify-filter.js';
@@ -21,14 +20,18 @@
 import {DispatchFilter} from '../filters/dispatch-filter.js';
 import {FilterChain} from '../filters/filter-chain.js';
 import {OutcomeFilter} from '../filters/outcome-filter.js';
-import {RequestContext} from '../filters/request-context.js';
 import {RetryFilter} from '../filters/retry-filter.js';
+import {ShutdownFilter} from '../filters/shutdown-filter.js';
 import {DebugLogger} from '../io/debug-logger.js';
 import {HttpListener} from '../io/http-listener.js';
 import {LoadClient} from '../io/load-client.js';
 import {PeerServer} from '../io/peer/peer-server.js';
 import {PlatformClient} from '../io/platform-client.js';
 import {systemClock} from '../io/system-clock.js';
+import {DataListener} from './data-listener.js';
+
+/** Time within which the peers' route answers no longer name an instance that is leaving, in ms. */
+const tellPeersMs = 1000;
 
 const createInstance = (settings: EntrySettings): Instance => ({
 	id: settings.instance.id,
@@ -55,8 +58,10 @@
 	private readonly _members: MembershipController;
 	private readonly _configuration: ConfigurationController;
 	private readonly _routes: RouteController;
+	private readonly _shutdown: ShutdownController;
 	private readonly _chain: FilterChain;
-	private readonly _dataListener: HttpListener;
+	private readonly _peers: PeerController;
+	private readonly _dataListener: DataListener;
 	private readonly _routeListener: HttpListener;
 	private readonly _operatorListener: HttpListener;
 	private readonly _peerServer: PeerServer;
@@ -71,19 +76,25 @@
 		this._store.add(this._configuration.onInstanceList(list => {
 			this._members.acceptInstanceList(list);
 		}));
-		this._store.add(new PeerController(this._members));
+		this._peers = this._store.add(new PeerController(this._members));
 		this._routes = this._store.add(new RouteController({
 			..._settings.routes, catalog: this._configuration, members: this._members, clock: systemClock, isListStale: () => false,
 		}));
+		this._shutdown = this._store.add(this._createShutdown());
 		this._chain = this._createChain();
-		this._dataListener = this._store.add(this._createDataListener());
+		this._dataListener = this._store.add(new DataListener({limits: _settings.limits, chain: this._chain, clock: systemClock}));
 		this._routeListener = this._store.add(new HttpListener({}, (request, response) => {
 			this._answerRoute(request, response);
 		}));
 		this._operatorListener = this._store.add(new HttpListener({}, (_request, response) => {
 			writeJson(response, 200, this.describeStatus());
 		}));
-		this._peerServer = this._store.add(new PeerServer({describeSelf: () => this._members.self}));
+		this._peerServer = this._store.add(new PeerServer({
+			describeSelf: () => this._members.self,
+			acceptLeaving: (instanceId, incarnation) => {
+				this._members.acceptLeaving(instanceId, incarnation);
+			},
+		}));
 	}
 
 	/** Reads the configuration and opens the listeners; an error names the address that failed. */
@@ -94,7 +105,7 @@
 			this._operatorListener.listen(listeners.operator),
 			this._peerServer.listener.listen(listeners.peer),
 			this._routeListener.listen(listeners.route),
-			this._dataListener.listen(listeners.data),
+			this._dataListener.listener.listen(listeners.data),
 		]);
 		const failed = results.find(result => result.isErr());
 		if (failed?.isErr()) {
@@ -114,19 +125,55 @@
 		};
 	}
 
+	/** Begins a planned stop, or hastens one that has begun. */
+	handleSignal(): void {
+		this._shutdown.handleSignal();
+	}
+
+	/** Resolves at the end of a planned stop with the number of requests that it cut. */
+	async waitUntilStopped(): Promise<number> {
+		return this._shutdown.waitUntilEnded();
+	}
+
 	dispose(): void {
 		this._store.dispose();
 	}
 
+	private _createShutdown(): ShutdownController {
+		const {routes, shutdown} = this._settings;
+		return new ShutdownController({
+			announceLeaving: () => {
+				this._members.markLeaving();
+				void this._tellPeersOfLeaving();
+			},
+			closeIdle: () => {
+				const {server} = this._dataListener.listener;
+				server.close();
+				server.closeIdleConnections();
+			},
+			servingMs: routes.lifetimeMs + tellPeersMs,
+			limitMs: shutdown.limitMs,
+			logger: this._logger,
+		});
+	}
+
+	private async _tellPeersOfLeaving(): Promise<void> {
+		const {instance, incarnation} = this._members.self;
+		const peers = this._members.listMembers().flatMap(member => this._peers.getClient(member.instance.id) ?? []);
+		// A peer that cannot be reached learns it from the others or the instance list.
+		await Promise.allSettled(peers.map(async peer => peer.api.leave.announce.mutate({instanceId: instance.id, incarnation})));
+	}
+
 	private _createChain(): FilterChain {
 		const {limits} = this._settings;
 		const connections = this._store.add(new ConnectionController({connectTimeoutMs: limits.connectTimeoutMs, clock: systemClock}));
 		const loadClient = this._store.add(new LoadClient());
 		const scheduler = this._store.add(createScheduler({
-			decisions: this._settings.decisions, clock: systemClock, random: Math.random, queryLoad: async (service, target) => loadClient.queryLoad(service, target),
+			decisions: this._settings.decisions, clock: systemClock, self: this._settings.instance, random: Math.random, queryLoad: async (service, target) => loadClient.queryLoad(service, target),
 		}));
 		const getConnectionLimit = (service: ServiceSpec) => Math.max(1, Math.floor(service.connectionsPerTarget / this._members.maxInstances));
 		return new FilterChain([
+			new ShutdownFilter(this._shutdown),
 			new AnswerFilter(),
 			new OutcomeFilter(),
 			new ClassifyFilter(this._configuration),
@@ -137,23 +184,6 @@
 		]);
 	}
 
-	private _createDataListener(): HttpListener {
-		const {limits} = this._settings;
-		const listener = new HttpListener({
-			maxHeaderSize: limits.headerBytes, headersTimeout: limits.headersTimeoutMs, requestTimeout: limits.requestTimeoutMs, noDelay: true, keepAliveTimeout: 60_000,
-		}, (request, response) => {
-			const context = new RequestContext(request, response, systemClock.now());
-			response.once('close', () => {
-				if (!response.writableFinished) {
-					context.abort(new RequestError(ErrorKind.CallerGone, 'the caller closed the connection'));
-				}
-			});
-			void this._chain.run(context);
-		});
-		listener.server.maxConnections = limits.callerConnections;
-		return listener;
-	}
-
 	private _answerRoute(request: IncomingMessage, response: ServerResponse): void {
 		const url = new URL(request.url ?? '/', 'http://localhost');
 		const [, root, service, ...rest] = url.pathname.split('/');
