--- a/src/bin/rattansill-entry.ts
+++ b/src/bin/rattansill-entry.ts
@@ -3,6 +3,7 @@
 import {Command, Option} from 'clipanion';
 import {entrySettingsSchema} from '../common/entry-settings-schema.js';
 import {ExitCode} from '../common/exit-code.js';
+import {formatFieldError} from '../common/format-field-error.js';
 import {DebugLogger} from '../io/debug-logger.js';
 import {readSettings} from '../io/read-settings.js';
 import {EntryDaemon} from './entry-daemon.js';
@@ -23,7 +24,7 @@
 		const settings = readSettings(this.settings, entrySettingsSchema);
 		if (settings.isErr()) {
 			for (const error of settings.error) {
-				this.context.stderr.write(`${this.settings}: ${error.field}: ${error.value}: ${error.message}\n`);
+				this.context.stderr.write(formatFieldError(this.settings, error));
 			}
 
 			return ExitCode.Usage;
--- /dev/null
+++ b/src/bin/rattansill-route.ts
@@ -0,0 +1,74 @@
+#!/usr/bin/env node
+import {Command, Option} from 'clipanion';
+import * as t from 'typanion';
+import {ExitCode} from '../common/exit-code.js';
+import type {RouteAnswer} from '../common/route-answer.js';
+import {askRoute} from '../io/ask-route.js';
+import {runProgram} from './run-program.js';
+
+class RouteCommand extends Command {
+	static override paths = [Command.Default];
+	static override usage = Command.Usage({
+		description: 'Asks which addresses to use for a service',
+		details: 'The entries are asked in the order given until one that is not leaving answers. '
+			+ 'Exit codes: 0 with an answer, 1 when no entry knows the service, 2 for a wrong command line, 3 when no entry answers.',
+		examples: [['Ask two entries', '$0 lacefront --entry http://127.0.0.1:7101 --entry http://127.0.0.1:7201']],
+	});
+
+	readonly service = Option.String({name: 'service'});
+	readonly entries = Option.Array('--entry', {required: true, description: 'Base URL of an entry\'s route listener; may be given several times'});
+	readonly domain = Option.String('--domain', {description: 'Failure domain of the caller'});
+	readonly timeoutMs = Option.String('--timeout-ms', '1000', {
+		description: 'Time for each entry to answer, in ms', validator: t.cascade(t.isNumber(), [t.isInteger(), t.isInInclusiveRange(1, 600_000)]),
+	});
+
+	readonly json = Option.Boolean('--json', false, {description: 'Print the answer as one JSON object'});
+
+	override async execute(): Promise<number> {
+		const failures: Array<{isUnknownService: boolean; detail: string}> = [];
+		let leaving: RouteAnswer | undefined;
+		for (const entry of this.entries) {
+			const asked = await askRoute({
+				entry, service: this.service, domain: this.domain, timeoutMs: this.timeoutMs,
+			});
+			if (asked.isErr()) {
+				failures.push(asked.error);
+				continue;
+			}
+
+			if (!asked.value.leaving) {
+				this._printAnswer(asked.value);
+				return ExitCode.Success;
+			}
+
+			leaving ??= asked.value;
+		}
+
+		if (leaving !== undefined) {
+			this._printAnswer(leaving);
+			return ExitCode.Success;
+		}
+
+		for (const {detail} of failures) {
+			this.context.stderr.write(`${detail}\n`);
+		}
+
+		return failures.some(failure => failure.isUnknownService) ? ExitCode.Failure : ExitCode.Unavailable;
+	}
+
+	private _printAnswer(answer: RouteAnswer): void {
+		if (this.json) {
+			this.context.stdout.write(`${JSON.stringify(answer)}\n`);
+			return;
+		}
+
+		for (const {host, port, instanceId, failureDomain} of answer.addresses) {
+			this.context.stdout.write(`${host}:${port}\t${instanceId}\t${failureDomain}\n`);
+		}
+
+		const notes = [answer.stale ? 'from an old instance list' : '', answer.leaving ? 'from an entry that is leaving' : ''].filter(note => note !== '');
+		this.context.stdout.write(`use for ${answer.lifetimeMs} ms${notes.map(note => `, ${note}`).join('')}\n`);
+	}
+}
+
+await runProgram('rattansill-route', [RouteCommand]);
--- a/src/bin/run-program.ts
+++ b/src/bin/run-program.ts
@@ -1,5 +1,8 @@
 import process from 'node:process';
-import {Cli, Builtins, type CommandClass} from 'clipanion';
+import {
+	Cli, Builtins, type Command, type CommandClass,
+} from 'clipanion';
+import {ExitCode} from '../common/exit-code.js';
 import {productVersion} from '../common/product-version.js';
 
 /** Runs a program of one or more commands with `--help` and `--version`; the command's result is the exit code. */
@@ -9,5 +12,14 @@
 		cli.register(command);
 	}
 
-	process.exitCode = await cli.run(process.argv.slice(2), Cli.defaultContext);
+	let command: Command;
+	try {
+		command = cli.process(process.argv.slice(2), Cli.defaultContext);
+	} catch (error) {
+		process.stderr.write(cli.error(error));
+		process.exitCode = ExitCode.Usage;
+		return;
+	}
+
+	process.exitCode = await cli.run(command, Cli.defaultContext);
 };
--- /dev/null
+++ b/src/common/route-answer-schema.ts
@@ -0,0 +1,13 @@
+import {z} from 'zod';
+
+/** Schema of a route answer for callers; fields of later versions are passed over. */
+export const routeAnswerSchema = z.object({
+	service: z.string(),
+	addresses: z.array(z.object({
+		instanceId: z.string(), host: z.string(), port: z.int().min(1).max(65_535), failureDomain: z.string(),
+	})).min(1),
+	lifetimeMs: z.number().min(0),
+	version: z.string(),
+	stale: z.boolean(),
+	leaving: z.boolean(),
+});
--- /dev/null
+++ b/src/io/read-json-file.ts
@@ -0,0 +1,19 @@
+import {readFileSync} from 'node:fs';
+import {err, ok, type Result} from 'neverthrow';
+import type {FieldError} from '../common/field-error.js';
+
+/** Reads a JSON file; the error says whether the file or its text is at fault. */
+export const readJsonFile = (file: string): Result<unknown, FieldError> => {
+	let text: string;
+	try {
+		text = readFileSync(file, 'utf8');
+	} catch (error) {
+		return err({field: '(file)', value: file, message: (error as Error).message});
+	}
+
+	try {
+		return ok(JSON.parse(text) as unknown);
+	} catch (error) {
+		return err({field: '(text)', value: file, message: `not JSON: ${(error as Error).message}`});
+	}
+};
--- /dev/null
+++ b/src/policy/explain-request.ts
@@ -0,0 +1,29 @@
+import {err, ok, type Result} from 'neverthrow';
+import {ErrorKind} from '../common/error-kind.js';
+import {RequestError} from '../common/request-error.js';
+import type {RequestRule} from '../common/request-rule.js';
+import type {ServiceSpec} from '../common/service-spec.js';
+import {checkRequestHead} from './check-request-head.js';
+import {findRule} from './find-rule.js';
+
+/**
+Explains what an entry would do with a request.
+@param line - Method and target, such as `GET /styles/7`.
+@returns The rule that applies, or the error that the caller would get.
+*/
+export const explainRequest = (service: ServiceSpec, line: string): Result<RequestRule, RequestError> => {
+	const [method = '', target = '', ...rest] = line.trim().split(/\s+/v);
+	if (rest.length > 0 || target === '') {
+		return err(new RequestError(ErrorKind.MalformedRequest, 'a request is a method and a target, such as "GET /styles/7"'));
+	}
+
+	const checked = checkRequestHead({method, target, rawHeaders: ['Host', service.name]}, 0);
+	if (checked.isErr()) {
+		return err(checked.error);
+	}
+
+	const rule = findRule(service, {method, target: checked.value});
+	return rule === undefined
+		? err(new RequestError(ErrorKind.MethodNotAllowed, `no rule of service ${service.name} matches ${line}`))
+		: ok(rule);
+};
