--- a/src/bin/rattansill-route.ts
+++ b/src/bin/rattansill-route.ts
@@ -25,6 +25,12 @@
 	readonly json = Option.Boolean('--json', false, {description: 'Print the answer as one JSON object'});
 
 	override async execute(): Promise<number> {
+		const wrong = this.entries.find(entry => !URL.canParse(entry));
+		if (wrong !== undefined) {
+			this.context.stderr.write(`--entry: ${wrong}: must be a URL such as http://127.0.0.1:7101\n`);
+			return ExitCode.Usage;
+		}
+
 		const failures: Array<{isUnknownService: boolean; detail: string}> = [];
 		let leaving: RouteAnswer | undefined;
 		for (const entry of this.entries) {
--- a/src/bin/run-program.ts
+++ b/src/bin/run-program.ts
@@ -21,5 +21,8 @@
 		return;
 	}
 
-	process.exitCode = await cli.run(command, Cli.defaultContext);
+	const code = await cli.run(command, Cli.defaultContext);
+	// Without any words the help is printed in place of the command that is missing.
+	const isMissing = process.argv.length === 2 && command instanceof Builtins.HelpCommand;
+	process.exitCode = isMissing ? ExitCode.Usage : code;
 };
--- a/src/common/refusal-rule-schema.ts
+++ b/src/common/refusal-rule-schema.ts
@@ -2,10 +2,7 @@
 
 /** Schema of an answer by which a target proves that it did not run the request. */
 export const refusalRuleSchema = z.strictObject({
-	/** HTTP status of the refusal. */
-	status: z.int().min(400).max(599),
-	/** Header, in lower case, that must be present. */
-	header: z.string().regex(/^[a-z0-9\-]+$/v),
-	/** Exact value of the header. */
-	value: z.string(),
+	status: z.int().min(400).max(599).describe('HTTP status of the refusal.'),
+	header: z.string().regex(/^[a-z0-9\-]+$/v).describe('Header, in lower case, that must be present.'),
+	value: z.string().describe('Exact value of the header.'),
 });
--- a/src/common/target-spec-schema.ts
+++ b/src/common/target-spec-schema.ts
@@ -2,14 +2,9 @@
 
 /** Schema of one target of a service. */
 export const targetSpecSchema = z.strictObject({
-	/** Name, unique within the service. */
-	id: z.string().min(1).max(128),
-	/** IP number. */
-	host: z.string().min(1).max(255),
-	/** TCP port. */
-	port: z.int().min(1).max(65_535),
-	/** Failure domain in which the target runs. */
-	failureDomain: z.string().min(1).max(128),
-	/** True once the operators take the target out of service. */
-	leaving: z.boolean().default(false),
+	id: z.string().min(1).max(128).describe('Name, unique within the service.'),
+	host: z.string().min(1).max(255).describe('IP number.'),
+	port: z.int().min(1).max(65_535).describe('TCP port.'),
+	failureDomain: z.string().min(1).max(128).describe('Failure domain in which the target runs.'),
+	leaving: z.boolean().default(false).describe('True once the operators take the target out of service.'),
 });
