Share in-flight counts between the entries of a service

Cause: each entry knew only its own requests in flight. Change: each entry subscribes to the others of a service's entry set and gets their counts, long counts, recent times of short requests and signs of draining: whole at first, then changes, gathered for shareIntervalMs, changes that free or fill a target first, paced by a byte rate. Counts lose weight with age. Load reports on answers are read (ORCA text format), targets are polled only within the probe share. An instance outside the entry set works from a share of slots.

--- a/src/bin/entry-daemon.ts
+++ b/src/bin/entry-daemon.ts
@@ -6,9 +6,10 @@
 import type {EntrySettings} from '../common/entry-settings.js';
 import type {Instance} from '../common/instance.js';
 import type {ServiceSpec} from '../common/service-spec.js';
+import type {SlotScheduler} from '../common/slot-scheduler.js';
 import {ConfigurationController} from '../controllers/configuration-controller.js';
 import {ConnectionController} from '../controllers/connection-controller.js';
-import {createScheduler} from '../controllers/create-scheduler.js';
+import {createDecisions} from '../controllers/create-decisions.js';
 import {MembershipController} from '../controllers/membership-controller.js';
 import {PeerController} from '../controllers/peer-controller.js';
 import {RouteController} from '../controllers/route-controller.js';
@@ -69,11 +70,23 @@
 		this._store.add(this._configuration.onInstanceList(list => {
 			this._members.acceptInstanceList(list);
 		}));
-		this._store.add(new PeerController(this._members));
+		const peers = this._store.add(new PeerController(this._members));
 		this._routes = this._store.add(new RouteController({
 			..._settings.routes, catalog: this._configuration, members: this._members, clock: systemClock, isListStale: () => false,
 		}));
-		this._chain = this._createChain();
+		const loadClient = this._store.add(new LoadClient());
+		const decisions = createDecisions({
+			decisions: _settings.decisions,
+			catalog: this._configuration,
+			routes: this._routes,
+			members: this._members,
+			peers,
+			queryLoad: async (service, target) => loadClient.queryLoad(service, target),
+			clock: systemClock,
+			random: Math.random,
+			store: this._store,
+		});
+		this._chain = this._createChain(decisions.scheduler);
 		this._dataListener = this._store.add(new DataListener({limits: _settings.limits, chain: this._chain, clock: systemClock}));
 		this._routeListener = this._store.add(new HttpListener({}, (request, response) => {
 			this._answerRoute(request, response);
@@ -81,7 +94,7 @@
 		this._operatorListener = this._store.add(new HttpListener({}, (_request, response) => {
 			writeJson(response, 200, this.describeStatus());
 		}));
-		this._peerServer = this._store.add(new PeerServer({describeSelf: () => this._members.self}));
+		this._peerServer = this._store.add(new PeerServer({describeSelf: () => this._members.self, load: decisions.load}));
 	}
 
 	/** Reads the configuration and opens the listeners; an error names the address that failed. */
@@ -116,13 +129,9 @@
 		this._store.dispose();
 	}
 
-	private _createChain(): FilterChain {
+	private _createChain(scheduler: SlotScheduler): FilterChain {
 		const {limits} = this._settings;
 		const connections = this._store.add(new ConnectionController({connectTimeoutMs: limits.connectTimeoutMs, clock: systemClock}));
-		const loadClient = this._store.add(new LoadClient());
-		const scheduler = this._store.add(createScheduler({
-			decisions: this._settings.decisions, clock: systemClock, self: this._settings.instance, random: Math.random, queryLoad: async (service, target) => loadClient.queryLoad(service, target),
-		}));
 		const getConnectionLimit = (service: ServiceSpec) => Math.max(1, Math.floor(service.connectionsPerTarget / this._members.maxInstances));
 		return new FilterChain([
 			new AnswerFilter(),
--- a/src/common/entry-settings-schema.ts
+++ b/src/common/entry-settings-schema.ts
@@ -84,6 +84,8 @@
 		policy: z.enum(DecisionPolicy).default(DecisionPolicy.Rattansill),
 		/** Time for which changes of the in-flight counts are gathered before they are sent to the other entries of a service, in ms. */
 		shareIntervalMs: z.int().min(1).max(10_000).default(10),
+		/** Bytes that the exchange of counts may send, a second, headers included. */
+		shareBytesPerSecond: z.int().min(100).max(100_000_000).default(9000),
 		/** Age at which a peer's counts are no longer believed, in ms. */
 		shareExpiryMs: z.int().min(10).max(60_000).default(1000),
 		/** Share of a service's slots that an instance outside the service's entry set may use. */
--- /dev/null
+++ b/src/controllers/create-decisions.ts
@@ -0,0 +1,57 @@
+import type {Clock} from '../common/clock.js';
+import {DecisionPolicy} from '../common/decision-policy.js';
+import type {DisposableStore} from '../common/disposable-store.js';
+import type {EntrySettings} from '../common/entry-settings.js';
+import type {LoadQuery} from '../common/load-query.js';
+import type {MemberDirectory} from '../common/member-directory.js';
+import type {RandomSource} from '../common/random-source.js';
+import type {RouteSource} from '../common/route-source.js';
+import type {ServiceCatalog} from '../common/service-catalog.js';
+import type {SlotScheduler} from '../common/slot-scheduler.js';
+import type {LoadHandlers} from '../io/peer/load-handlers.js';
+import {BaselineScheduler} from './baseline-scheduler.js';
+import {LoadController} from './load-controller.js';
+import type {PeerController} from './peer-controller.js';
+import {ScheduleController} from './schedule-controller.js';
+
+type DecisionsOptions = {
+	readonly decisions: EntrySettings['decisions'];
+	readonly catalog: ServiceCatalog;
+	readonly routes: RouteSource;
+	readonly members: MemberDirectory;
+	readonly peers: PeerController;
+	readonly queryLoad: LoadQuery;
+	readonly clock: Clock;
+	readonly random: RandomSource;
+	/** Owns what is created. */
+	readonly store: DisposableStore;
+};
+
+type Decisions = {
+	readonly scheduler: SlotScheduler;
+	readonly load: LoadHandlers;
+};
+
+const emptyLoadHandlers: LoadHandlers = {
+	async * watchLoad() {
+		// A baseline shares no counts.
+	},
+};
+
+/** Creates the scheduler of the policy that the settings name, and what it shares with peers. */
+export const createDecisions = (options: DecisionsOptions): Decisions => {
+	const {decisions, store, clock, members} = options;
+	const {policy} = decisions;
+	switch (policy) {
+		case DecisionPolicy.RoundRobin:
+		case DecisionPolicy.LeastOutstanding:
+		case DecisionPolicy.ProbePool: {
+			return {scheduler: store.add(new BaselineScheduler({...options, policy})), load: emptyLoadHandlers};
+		}
+
+		case DecisionPolicy.Rattansill: {
+			const schedule = store.add(new ScheduleController({clock, self: members.self.instance, decisions}));
+			return {scheduler: schedule, load: store.add(new LoadController({...options, schedule}))};
+		}
+	}
+};
--- /dev/null
+++ b/src/controllers/load-controller.ts
@@ -0,0 +1,270 @@
+import type {Clock} from '../common/clock.js';
+import type {DisposableLike} from '../common/disposable-like.js';
+import {DisposableStore} from '../common/disposable-store.js';
+import type {EntrySettings} from '../common/entry-settings.js';
+import type {LoadQuery} from '../common/load-query.js';
+import type {MemberDirectory} from '../common/member-directory.js';
+import type {RouteSource} from '../common/route-source.js';
+import type {ServiceCatalog} from '../common/service-catalog.js';
+import type {ServiceSpec} from '../common/service-spec.js';
+import type {ShareMessage} from '../common/share-message.js';
+import type {TargetShare} from '../common/target-share.js';
+import type {TargetSpec} from '../common/target-spec.js';
+import type {LoadHandlers} from '../io/peer/load-handlers.js';
+import {ByteBudget} from '../policy/schedule/byte-budget.js';
+import {computeCautiousLimit} from '../policy/schedule/compute-cautious-limit.js';
+import {ProbeBudget} from '../policy/schedule/probe-budget.js';
+import {LoadFeed} from './load-feed.js';
+import type {PeerController} from './peer-controller.js';
+import type {ScheduleController} from './schedule-controller.js';
+
+type LoadOptions = {
+	readonly schedule: ScheduleController;
+	readonly catalog: ServiceCatalog;
+	readonly routes: RouteSource;
+	readonly members: MemberDirectory;
+	readonly peers: PeerController;
+	readonly queryLoad: LoadQuery;
+	readonly clock: Clock;
+	readonly decisions: EntrySettings['decisions'];
+};
+
+type WatchedPeer = {
+	readonly id: string;
+	readonly services: readonly string[];
+};
+
+type PeerWatch = {
+	/** The services asked for, as one text. */
+	readonly services: string;
+	stop(): void;
+};
+
+const refreshMs = 100;
+const retryMs = 500;
+/** Age up to which the time of short requests is passed on, in ms. */
+const recentMs = 50;
+
+/** Exchanges counts with the other entries of each service and polls targets within the probe budget. */
+export class LoadController implements LoadHandlers, DisposableLike {
+	private readonly _store = new DisposableStore();
+	private readonly _feeds = new Set<LoadFeed>();
+	private readonly _watches = new Map<string, PeerWatch>();
+	private readonly _probeBudgets = new Map<string, ProbeBudget>();
+	private readonly _byteBudget: ByteBudget;
+	private readonly _timer: NodeJS.Timeout;
+
+	constructor(private readonly _options: LoadOptions) {
+		this._byteBudget = new ByteBudget(_options.decisions.shareBytesPerSecond);
+		this._store.add(_options.schedule.onCountChanged(({service, targetId}) => {
+			for (const feed of this._feeds) {
+				feed.markChanged(service, targetId);
+			}
+		}));
+		this._store.add(_options.catalog.onServiceRemoved(name => {
+			_options.schedule.removeService(name);
+		}));
+		this._timer = setInterval(() => {
+			this._refresh();
+		}, refreshMs);
+	}
+
+	async * watchLoad(services: readonly string[], signal: AbortSignal | undefined): AsyncGenerator<ShareMessage> {
+		const asked = new Set(services);
+		const {clock, decisions} = this._options;
+		const feed = new LoadFeed({
+			clock,
+			intervalMs: decisions.shareIntervalMs,
+			budget: this._byteBudget,
+			listStates: () => this._listStates(asked),
+			getState: (service, targetId) => asked.has(service) ? this._findState(service, targetId) : undefined,
+		});
+		this._feeds.add(feed);
+		try {
+			yield * feed.listMessages(signal);
+		} finally {
+			this._feeds.delete(feed);
+		}
+	}
+
+	dispose(): void {
+		clearInterval(this._timer);
+		for (const watch of this._watches.values()) {
+			watch.stop();
+		}
+
+		this._watches.clear();
+		this._store.dispose();
+	}
+
+	private _refresh(): void {
+		const wanted = new Map<string, string[]>();
+		const ownId = this._options.members.self.instance.id;
+		for (const service of this._options.catalog.listServices()) {
+			const entries = this._options.routes.listEntries(service.name).map(member => member.instance.id);
+			const isEntry = entries.length === 0 || entries.includes(ownId);
+			this._options.schedule.getScheduler(service).maxInFlight = isEntry ? Number.POSITIVE_INFINITY : computeCautiousLimit(service, this._options.decisions.cautiousShare);
+			if (!isEntry) {
+				continue;
+			}
+
+			this._pollTargets(service);
+			for (const id of entries.filter(entry => entry !== ownId)) {
+				wanted.set(id, [...(wanted.get(id) ?? []), service.name]);
+			}
+		}
+
+		this._updateWatches(wanted);
+	}
+
+	private _updateWatches(wanted: ReadonlyMap<string, readonly string[]>): void {
+		for (const [peerId, watch] of this._watches) {
+			if (wanted.get(peerId)?.join(',') !== watch.services) {
+				watch.stop();
+				this._watches.delete(peerId);
+			}
+		}
+
+		for (const [peerId, services] of wanted) {
+			if (!this._watches.has(peerId)) {
+				this._watchPeer(peerId, services);
+			}
+		}
+	}
+
+	private _watchPeer(peerId: string, services: readonly string[]): void {
+		const client = this._options.peers.getClient(peerId);
+		if (client === undefined) {
+			return;
+		}
+
+		let known: readonly TargetShare[] = [];
+		const retryLater = () => {
+			setTimeout(() => {
+				subscription.unsubscribe();
+				if (this._watches.get(peerId) === watch) {
+					this._watches.delete(peerId);
+				}
+			}, retryMs).unref();
+		};
+
+		const subscription = client.api.load.watch.subscribe({services: [...services]}, {
+			onData: message => {
+				known = this._acceptMessage({id: peerId, services}, known, message);
+			},
+			onError: retryLater,
+			onComplete: retryLater,
+		});
+		const watch: PeerWatch = {
+			services: services.join(','),
+			stop: () => {
+				subscription.unsubscribe();
+				this._forgetPeer(peerId);
+			},
+		};
+		this._watches.set(peerId, watch);
+	}
+
+	/** Takes a message and returns the peer's shares as they are now. */
+	private _acceptMessage(peer: WatchedPeer, known: readonly TargetShare[], message: ShareMessage): readonly TargetShare[] {
+		switch (message.kind) {
+			case 'whole': {
+				this._applyShares(peer, message.targets, true);
+				return message.targets;
+			}
+
+			case 'changes': {
+				const shares = [...known];
+				const changed: TargetShare[] = [];
+				for (const [index, inFlight, longInFlight, shortMs, draining] of message.changes) {
+					const before = shares[index];
+					if (before !== undefined) {
+						const share = {
+							...before, inFlight, longInFlight, shortMs, isDraining: draining === 1,
+						};
+						shares[index] = share;
+						changed.push(share);
+					}
+				}
+
+				this._applyShares(peer, changed, false);
+				return shares;
+			}
+		}
+	}
+
+	private _applyShares(peer: WatchedPeer, shares: readonly TargetShare[], isWhole: boolean): void {
+		const now = this._options.clock.now();
+		const {schedule, catalog} = this._options;
+		for (const name of peer.services) {
+			const service = catalog.getService(name);
+			const own = shares.filter(share => share.service === name);
+			if (service === undefined) {
+				continue;
+			}
+
+			// Without a change this still confirms that the counts are fresh.
+			const scheduler = schedule.getScheduler(service);
+			scheduler.load.acceptShares(peer.id, own, now, isWhole);
+			schedule.serveQueue(scheduler);
+		}
+	}
+
+	private _forgetPeer(peerId: string): void {
+		for (const service of this._options.catalog.listServices()) {
+			this._options.schedule.getScheduler(service).load.peers.removePeer(peerId);
+		}
+	}
+
+	private _listStates(services: ReadonlySet<string>) {
+		return this._options.catalog.listServices()
+			.filter(service => services.has(service.name))
+			.flatMap(service => service.targets.map(target => this._createState(service, target)));
+	}
+
+	private _findState(name: string, targetId: string) {
+		const service = this._options.catalog.getService(name);
+		const target = service?.targets.find(candidate => candidate.id === targetId);
+		return service === undefined || target === undefined ? undefined : this._createState(service, target);
+	}
+
+	private _createState(service: ServiceSpec, target: TargetSpec) {
+		const now = this._options.clock.now();
+		const {load} = this._options.schedule.getScheduler(service);
+		const state = load.getTarget(target.id);
+		return {
+			isFull: load.estimateFreeSlots(target, now) < 1,
+			share: {
+				service: service.name,
+				targetId: target.id,
+				inFlight: state?.inFlight ?? 0,
+				longInFlight: state?.longInFlight ?? 0,
+				shortMs: Math.round(state?.getRecentShortMs(now, recentMs) ?? 0),
+				isDraining: state?.isSeenDraining(now) ?? false,
+			},
+		};
+	}
+
+	private _pollTargets(service: ServiceSpec): void {
+		const now = this._options.clock.now();
+		for (const target of service.targets) {
+			const key = `${service.name}/${target.id}`;
+			let budget = this._probeBudgets.get(key);
+			if (budget === undefined) {
+				budget = new ProbeBudget();
+				this._probeBudgets.set(key, budget);
+			}
+
+			if (budget.tryTake(now, service.probesPerTargetPerSecond, this._options.members.maxInstances)) {
+				void this._pollTarget(service, target);
+			}
+		}
+	}
+
+	private async _pollTarget(service: ServiceSpec, target: TargetSpec): Promise<void> {
+		const report = await this._options.queryLoad(service, target);
+		if (report !== undefined) {
+			this._options.schedule.getScheduler(service).acceptReport(target.id, report, this._options.clock.now());
+		}
+	}
+}
--- /dev/null
+++ b/src/controllers/load-feed.ts
@@ -0,0 +1,142 @@
+import {Buffer} from 'node:buffer';
+import type {Clock} from '../common/clock.js';
+import type {ShareMessage} from '../common/share-message.js';
+import type {TargetShare} from '../common/target-share.js';
+import type {ByteBudget} from '../policy/schedule/byte-budget.js';
+
+type ShareState = {
+	/** Whether the target had no free slot, as this instance believes. */
+	readonly isFull: boolean;
+	readonly share: TargetShare;
+};
+
+type LoadFeedOptions = {
+	readonly clock: Clock;
+	/** Time for which changes are gathered, in ms. */
+	readonly intervalMs: number;
+	/** Shared by all feeds of the instance. */
+	readonly budget: ByteBudget;
+	/** The present state of every target that the receiver asked for. */
+	readonly listStates: () => ShareState[];
+	/** The present state of one of them; undefined when the receiver did not ask for it. */
+	readonly getState: (service: string, targetId: string) => ShareState | undefined;
+};
+
+/** Changes that free or fill no target may wait for this many intervals. */
+const minorChangeIntervals = 4;
+/** Time after which an unchanged state is confirmed, in ms. */
+const heartbeatMs = 250;
+/** Number of messages after which the whole state is sent again. */
+const wholeEvery = 200;
+/** Bytes of headers and acknowledgement that a message costs beside its text. */
+const messageOverheadBytes = 130;
+
+const createKey = (service: string, targetId: string) => `${service}/${targetId}`;
+
+/** The changes of this instance's counts for one receiver, gathered and paced. */
+export class LoadFeed {
+	private _sent = new Map<string, {readonly index: number; readonly state: ShareState}>();
+	private readonly _changed = new Map<string, ShareState>();
+	private _messagesLeft = 0;
+	private _sentAt = 0;
+	private _isUrgent = false;
+	private _timer: NodeJS.Timeout | undefined;
+	private _wake: (() => void) | undefined;
+
+	constructor(private readonly _options: LoadFeedOptions) {}
+
+	/** Notes that a count may have changed. */
+	markChanged(service: string, targetId: string): void {
+		const key = createKey(service, targetId);
+		const sent = this._sent.get(key);
+		const state = this._options.getState(service, targetId);
+		if (sent === undefined || state === undefined) {
+			return;
+		}
+
+		if (state.share.inFlight === sent.state.share.inFlight && state.share.longInFlight === sent.state.share.longInFlight && state.share.isDraining === sent.state.share.isDraining) {
+			this._changed.delete(key);
+			return;
+		}
+
+		this._changed.set(key, state);
+		if (!this._isUrgent && (state.isFull !== sent.state.isFull || state.share.isDraining !== sent.state.share.isDraining)) {
+			this._isUrgent = true;
+			this._schedule();
+		} else if (this._changed.size === 1) {
+			this._schedule();
+		}
+	}
+
+	/** The messages: the whole state first, then changes, until the receiver ends the subscription. */
+	async * listMessages(signal: AbortSignal | undefined): AsyncGenerator<ShareMessage> {
+		const stop = () => this._wake?.();
+		signal?.addEventListener('abort', stop);
+		try {
+			while (!(signal?.aborted ?? false)) {
+				const message = this._takeMessage();
+				this._options.budget.recordMessage(Buffer.byteLength(JSON.stringify(message)) + messageOverheadBytes, this._options.clock.now());
+				yield message;
+				await this._waitUntilDue();
+			}
+		} finally {
+			clearTimeout(this._timer);
+			signal?.removeEventListener('abort', stop);
+		}
+	}
+
+	private async _waitUntilDue(): Promise<void> {
+		await new Promise<void>(resolve => {
+			this._wake = resolve;
+			this._schedule();
+		});
+		this._wake = undefined;
+		clearTimeout(this._timer);
+	}
+
+	private _schedule(): void {
+		if (this._wake === undefined) {
+			return;
+		}
+
+		clearTimeout(this._timer);
+		const {clock, budget} = this._options;
+		const dueAt = Math.max(this._sentAt + this._computeDelay(), budget.availableAt);
+		this._timer = setTimeout(this._wake, Math.max(0, dueAt - clock.now()));
+	}
+
+	private _computeDelay(): number {
+		const {intervalMs} = this._options;
+		if (this._isUrgent) {
+			return intervalMs;
+		}
+
+		return this._changed.size > 0 ? Math.min(heartbeatMs, intervalMs * minorChangeIntervals) : heartbeatMs;
+	}
+
+	private _takeMessage(): ShareMessage {
+		this._sentAt = this._options.clock.now();
+		this._isUrgent = false;
+		this._messagesLeft--;
+		return this._messagesLeft < 0 ? this._takeWhole() : this._takeChanges();
+	}
+
+	private _takeWhole(): ShareMessage {
+		const states = this._options.listStates();
+		this._messagesLeft = wholeEvery;
+		this._changed.clear();
+		this._sent = new Map(states.map((state, index) => [createKey(state.share.service, state.share.targetId), {index, state}]));
+		return {kind: 'whole', targets: states.map(({share}) => share)};
+	}
+
+	private _takeChanges(): ShareMessage {
+		const changes = [...this._changed].map(([key, state]) => {
+			const index = this._sent.get(key)?.index ?? 0;
+			this._sent.set(key, {index, state});
+			const {inFlight, longInFlight, shortMs, isDraining} = state.share;
+			return [index, inFlight, longInFlight, shortMs, isDraining ? 1 : 0] as const;
+		});
+		this._changed.clear();
+		return {kind: 'changes', changes};
+	}
+}
--- a/src/filters/dispatch-filter.ts
+++ b/src/filters/dispatch-filter.ts
@@ -12,6 +12,7 @@
 import type {TargetAnswer} from '../io/target-answer.js';
 import type {TargetConnection} from '../io/target-connection.js';
 import {hasStatedEnd} from '../policy/has-stated-end.js';
+import {parseLoadReport} from '../policy/schedule/parse-load-report.js';
 import {TryInput} from '../policy/try-input.js';
 import type {TryRecord} from '../policy/try-record.js';
 import type {FilterResult} from './filter-result.js';
@@ -101,12 +102,13 @@
 
 		const answer = result.value;
 		record.apply(TryInput.AnswerStarted);
+		const report = parseLoadReport(answer.rawHeaders, service.drainHeader);
 		if (this._isProvenRefusal(service, answer)) {
 			answer.body.discard();
 			connection.dispose();
 			record.apply(TryInput.Refused);
 			context.excludedTargets.push(target.id);
-			lease.release(ExchangeEnd.Refused);
+			lease.release(ExchangeEnd.Refused, report);
 			return err(new RequestError(ErrorKind.TargetRefused, `target ${target.id} answered ${answer.status} as not run`));
 		}
 
@@ -125,7 +127,7 @@
 				connection.dispose();
 			}
 
-			lease.release(isWhole ? ExchangeEnd.Answered : ExchangeEnd.Lost);
+			lease.release(isWhole ? (answer.status >= 500 ? ExchangeEnd.Failed : ExchangeEnd.Answered) : ExchangeEnd.Lost, report);
 		};
 
 		if (answer.body.isWhole) {
--- a/src/policy/schedule/service-load.ts
+++ b/src/policy/schedule/service-load.ts
@@ -1,4 +1,5 @@
 import type {ServiceSpec} from '../../common/service-spec.js';
+import type {TargetShare} from '../../common/target-share.js';
 import type {TargetSpec} from '../../common/target-spec.js';
 import {computeHash} from '../compute-hash.js';
 import {DecayingMean} from './decaying-mean.js';
@@ -101,6 +102,21 @@
 		this._usualMs.addSample(occupiedMs, now);
 	}
 
+	/** Takes what a peer shares of its counts, times and signs of draining. */
+	acceptShares(peerId: string, shares: readonly TargetShare[], now: number, isWhole: boolean): void {
+		this.peers.acceptCounts(peerId, new Map(shares.map(share => [share.targetId, share])), now, isWhole);
+		for (const {targetId, shortMs, isDraining} of shares) {
+			const load = this.getTarget(targetId);
+			if (shortMs > 0) {
+				load?.addPeerShortMs(shortMs, now);
+			}
+
+			if (isDraining) {
+				load?.markDrainingByPeer(now);
+			}
+		}
+	}
+
 	/** Slots of a target believed free. */
 	estimateFreeSlots(target: TargetSpec, now: number): number {
 		const load = this.getTarget(target.id);
--- a/src/policy/schedule/target-load.ts
+++ b/src/policy/schedule/target-load.ts
@@ -27,13 +27,17 @@
 export class TargetLoad {
 	readonly trust = new ReportTrust();
 	private readonly _uses = new Set<SlotUse>();
+	/** Times seen here and by peers. */
 	private readonly _shortMs = new DecayingMean(shortMemoryMs);
+	private readonly _ownShortMs = new DecayingMean(shortMemoryMs);
 	private _longInFlight = 0;
 	private _peerInFlight = 0;
 	private _peerLongInFlight = 0;
 	private _reportedExcess = 0;
 	private _reportedAt = Number.NEGATIVE_INFINITY;
 	private _drainSeenAt = Number.NEGATIVE_INFINITY;
+	private _peerDrainSeenAt = Number.NEGATIVE_INFINITY;
+	private _ownShortAt = Number.NEGATIVE_INFINITY;
 	private _backoffUntil = 0;
 	private _backoffMs = 0;
 	private _ejectedUntil = 0;
@@ -99,10 +103,31 @@
 		this._drainSeenAt = now;
 	}
 
+	/** Notes a peer's sign; it is not passed on, so that two peers do not keep it alive between them. */
+	markDrainingByPeer(now: number): void {
+		this._peerDrainSeenAt = now;
+	}
+
+	/** Whether the target itself or a peer said lately that it is leaving. */
 	isDraining(now: number): boolean {
+		return this.isSeenDraining(now) || now - this._peerDrainSeenAt < drainMemoryMs;
+	}
+
+	/** Whether this instance itself saw a sign that the target is leaving. */
+	isSeenDraining(now: number): boolean {
 		return now - this._drainSeenAt < drainMemoryMs;
 	}
 
+	/** Takes the recent time of short requests that a peer saw. */
+	addPeerShortMs(shortMs: number, now: number): void {
+		this._shortMs.addSample(shortMs, now);
+	}
+
+	/** Average time of short requests if there was one within `recentMs`, else undefined. */
+	getRecentShortMs(now: number, recentMs: number): number | undefined {
+		return now - this._ownShortAt <= recentMs ? this._ownShortMs.mean : undefined;
+	}
+
 	isEjected(now: number): boolean {
 		return now < this._ejectedUntil;
 	}
@@ -169,7 +194,7 @@
 				this._ejectionMs = 0;
 				this._backoffMs = 0;
 				if (!use.isLong) {
-					this._shortMs.addSample(now - use.startedAt, now);
+					this._addShort(now - use.startedAt, now);
 				}
 
 				break;
@@ -192,7 +217,7 @@
 			case ExchangeEnd.Cancelled: {
 				// The request would have taken at least this long.
 				if (!use.isLong && now - use.startedAt > (this._shortMs.mean ?? 0)) {
-					this._shortMs.addSample(now - use.startedAt, now);
+					this._addShort(now - use.startedAt, now);
 				}
 
 				break;
@@ -204,6 +229,12 @@
 		}
 	}
 
+	private _addShort(occupiedMs: number, now: number): void {
+		this._shortMs.addSample(occupiedMs, now);
+		this._ownShortMs.addSample(occupiedMs, now);
+		this._ownShortAt = now;
+	}
+
 	private _countFailure(now: number): void {
 		this._failures++;
 		if (this._failures >= failuresUntilEjection && !this.isEjected(now)) {
