--- a/src/io/peer/create-peer-router.ts
+++ b/src/io/peer/create-peer-router.ts
@@ -1,4 +1,5 @@
 import {createLoadRouter} from './load-router.js';
+import {createLeaveRouter} from './leave-router.js';
 import {peerTrpc} from './peer-trpc.js';
 import type {PeerHandlers} from './peer-handlers.js';
 
@@ -7,4 +8,5 @@
 	/** Says who answers here. */
 	hello: peerTrpc.procedure.query(() => handlers.describeSelf()),
 	load: createLoadRouter(handlers.load),
+	leave: createLeaveRouter(handlers),
 });
--- a/src/io/peer/peer-handlers.ts
+++ b/src/io/peer/peer-handlers.ts
@@ -6,4 +6,6 @@
 	/** Answers who this instance is. */
 	readonly describeSelf: () => Member;
 	readonly load: LoadHandlers;
+	/** Takes the notice of an instance that leaves. */
+	readonly acceptLeaving: (instanceId: string, incarnation: number) => void;
 };
--- a/src/policy/convert-error.ts
+++ b/src/policy/convert-error.ts
@@ -10,6 +10,9 @@
 	[ErrorKind.BodyTooLarge, ErrorKind.BodyTooLargeDispatched],
 	[ErrorKind.RequestTooSlow, ErrorKind.RequestTooSlowDispatched],
 	[ErrorKind.MalformedRequest, ErrorKind.BodyInterrupted],
+	[ErrorKind.BodyTooLarge, ErrorKind.BodyTooLargeDispatched],
+	[ErrorKind.RequestTooSlow, ErrorKind.RequestTooSlowDispatched],
+	[ErrorKind.MalformedRequest, ErrorKind.BodyInterrupted],
 ]);
 const queuedKinds = new Map([...dispatchedKinds].map(([queued, dispatched]) => [dispatched, queued]));
 
--- a/test/load-sharing.test.ts
+++ b/test/load-sharing.test.ts
@@ -17,11 +17,16 @@
 		return answer.statusCode;
 	};
 
+	const countArrived = async () => {
+		const records = await site.fleet.readRecords();
+		return records.length;
+	};
+
 	/** Fills every slot through the first entry, then sends one request through the second. */
 	const runRound = async (round: number) => {
 		await site.fleet.clearLedgers();
 		const first = Array.from({length: slots}, async (_, index) => sendRequest(0, `/round-${round}/${index}`));
-		await expect.poll(async () => (await site.fleet.readRecords()).length).toBe(slots);
+		await expect.poll(countArrived).toBe(slots);
 		const last = sendRequest(1, `/round-${round}/last`);
 		const statuses = await Promise.all([...first, last]);
 		const records = await site.fleet.readRecords();
