--- a/src/bin/entry-daemon.ts
+++ b/src/bin/entry-daemon.ts
@@ -9,7 +9,7 @@
 import type {ServiceSpec} from '../common/service-spec.js';
 import {ConfigurationController} from '../controllers/configuration-controller.js';
 import {ConnectionController} from '../controllers/connection-controller.js';
-import {createScheduler} from '../controllers/create-scheduler.js';
+import {createDecisions} from '../controllers/create-decisions.js';
 import {MembershipController} from '../controllers/membership-controller.js';
 import {PeerController} from '../controllers/peer-controller.js';
 import {RouteController} from '../controllers/route-controller.js';
@@ -66,6 +66,7 @@
 	private readonly _configuration: ConfigurationController;
 	private readonly _routes: RouteController;
 	private readonly _shutdown: ShutdownController;
+	private readonly _decisions: ReturnType<typeof createDecisions>;
 	private readonly _chain: FilterChain;
 	private readonly _peers: PeerController;
 	private readonly _dataListener: DataListener;
@@ -89,6 +90,7 @@
 			..._settings.routes, catalog: this._configuration, members: this._members, clock: systemClock, isListStale: () => false,
 		}));
 		this._shutdown = this._store.add(this._createShutdown());
+		this._decisions = this._createDecisions();
 		this._chain = this._createChain();
 		this._dataListener = this._store.add(new DataListener({limits: _settings.limits, chain: this._chain, clock: systemClock}));
 		if (_settings.metrics.enabled) {
@@ -107,6 +109,7 @@
 		}));
 		this._peerServer = this._store.add(new PeerServer({
 			describeSelf: () => this._members.self,
+			load: this._decisions.load,
 			acceptLeaving: (instanceId, incarnation) => {
 				this._members.acceptLeaving(instanceId, incarnation);
 			},
@@ -180,13 +183,24 @@
 		await Promise.allSettled(peers.map(async peer => peer.api.leave.announce.mutate({instanceId: instance.id, incarnation})));
 	}
 
+	private _createDecisions(): ReturnType<typeof createDecisions> {
+		const loadClient = this._store.add(new LoadClient());
+		return createDecisions({
+			decisions: this._settings.decisions,
+			catalog: this._configuration,
+			routes: this._routes,
+			members: this._members,
+			peers: this._peers,
+			queryLoad: async (service, target) => loadClient.queryLoad(service, target),
+			clock: systemClock,
+			random: Math.random,
+			store: this._store,
+		});
+	}
+
 	private _createChain(): FilterChain {
 		const {limits} = this._settings;
 		const connections = this._store.add(new ConnectionController({connectTimeoutMs: limits.connectTimeoutMs, clock: systemClock}));
-		const loadClient = this._store.add(new LoadClient());
-		const scheduler = this._store.add(createScheduler({
-			decisions: this._settings.decisions, clock: systemClock, self: this._settings.instance, random: Math.random, queryLoad: async (service, target) => loadClient.queryLoad(service, target),
-		}));
 		const getConnectionLimit = (service: ServiceSpec) => Math.max(1, Math.floor(service.connectionsPerTarget / this._members.maxInstances));
 		return new FilterChain([
 			...createObservers(this._settings, this._metrics, this._store),
@@ -196,7 +210,7 @@
 			new ClassifyFilter(this._configuration),
 			new DeadlineFilter(systemClock),
 			new RetryFilter(),
-			new AdmitFilter(scheduler),
+			new AdmitFilter(this._decisions.scheduler),
 			...(this._settings.tracing.enabled ? [new TraceTryFilter()] : []),
 			new DispatchFilter({connections, clock: systemClock, getConnectionLimit}),
 		]);
--- a/src/common/entry-settings-schema.ts
+++ b/src/common/entry-settings-schema.ts
@@ -82,6 +82,7 @@
 	decisions: z.strictObject({
 		policy: z.enum(DecisionPolicy).default(DecisionPolicy.Rattansill).describe('How targets are chosen; all but `rattansill` are baselines for measurements.'),
 		shareIntervalMs: z.int().min(1).max(10_000).default(10).describe('Time for which changes of the in-flight counts are gathered before they are sent to the other entries of a service, in ms.'),
+		shareBytesPerSecond: z.int().min(100).max(100_000_000).default(9000).describe('Bytes that the exchange of counts may send, a second, headers included.'),
 		shareExpiryMs: z.int().min(10).max(60_000).default(1000).describe('Age at which a peer\'s counts are no longer believed, in ms.'),
 		cautiousShare: z.number().min(0).max(1).default(0.25).describe('Share of a service\'s slots that an instance outside the service\'s entry set may use.'),
 		hedging: z.boolean().default(true).describe('Whether short idempotent requests are hedged.'),
