Retry and hedge within budgets, at one hop of a chain

Cause: retries had no budget and only followed proven refusals; nothing hedged. Change: retries of idempotent requests follow any failure of a target, those of others only a proof of not run; both take from a share of first tries that starts empty. A short idempotent lookup that takes longer than hedgeAfterMs goes to a second target with a slot believed free; the slower try is cancelled and its slot released as cancelled. A later try carries rattansill-attempt, a failure that was retried rattansill-retried; neither is tried again by another hop. Ruled out: a starting allowance for retries, for it would let a restarting fleet pass the share.

--- a/src/bin/entry-daemon.ts
+++ b/src/bin/entry-daemon.ts
@@ -21,6 +21,7 @@
 import {DispatchFilter} from '../filters/dispatch-filter.js';
 import {FilterChain} from '../filters/filter-chain.js';
 import {TraceTryFilter} from '../filters/trace-try-filter.js';
+import {HedgeFilter} from '../filters/hedge-filter.js';
 import {OutcomeFilter} from '../filters/outcome-filter.js';
 import {RetryFilter} from '../filters/retry-filter.js';
 import {disabledMetrics} from '../io/disabled-metrics.js';
@@ -209,8 +210,9 @@
 			new OutcomeFilter(),
 			new ClassifyFilter(this._configuration),
 			new DeadlineFilter(systemClock),
-			new RetryFilter(),
+			new RetryFilter(this._decisions.budgets),
 			new AdmitFilter(this._decisions.scheduler),
+			...(this._settings.decisions.hedging ? [new HedgeFilter(this._decisions.scheduler, this._decisions.budgets)] : []),
 			...(this._settings.tracing.enabled ? [new TraceTryFilter()] : []),
 			new DispatchFilter({connections, clock: systemClock, getConnectionLimit}),
 		]);
--- a/src/common/header-names.ts
+++ b/src/common/header-names.ts
@@ -10,6 +10,10 @@
 	TraceParent = 'traceparent',
 	/** Vendors' part of the W3C trace context. */
 	TraceState = 'tracestate',
+	/** Number of the try, on requests after the first; the hops behind do not retry these. */
+	Attempt = 'rattansill-attempt',
+	/** On failures: the hop nearest the failure has tried again as far as it may. */
+	Retried = 'rattansill-retried',
 	/** Load report that rides on an answer, in the text format of ORCA. */
 	LoadReport = 'endpoint-load-metrics',
 }
--- a/src/controllers/create-decisions.ts
+++ b/src/controllers/create-decisions.ts
@@ -10,6 +10,7 @@
 import type {SlotScheduler} from '../common/slot-scheduler.js';
 import type {LoadHandlers} from '../io/peer/load-handlers.js';
 import {BaselineScheduler} from './baseline-scheduler.js';
+import {BudgetController} from './budget-controller.js';
 import {LoadController} from './load-controller.js';
 import type {PeerController} from './peer-controller.js';
 import {ScheduleController} from './schedule-controller.js';
@@ -29,6 +30,7 @@
 
 type Decisions = {
 	readonly scheduler: SlotScheduler;
+	readonly budgets: BudgetController;
 	readonly load: LoadHandlers;
 };
 
@@ -42,16 +44,20 @@
 export const createDecisions = (options: DecisionsOptions): Decisions => {
 	const {decisions, store, clock, members} = options;
 	const {policy} = decisions;
+	const budgets = new BudgetController();
+	store.add(options.catalog.onServiceRemoved(name => {
+		budgets.removeService(name);
+	}));
 	switch (policy) {
 		case DecisionPolicy.RoundRobin:
 		case DecisionPolicy.LeastOutstanding:
 		case DecisionPolicy.ProbePool: {
-			return {scheduler: store.add(new BaselineScheduler({...options, policy})), load: emptyLoadHandlers};
+			return {scheduler: store.add(new BaselineScheduler({...options, policy})), budgets, load: emptyLoadHandlers};
 		}
 
 		case DecisionPolicy.Rattansill: {
 			const schedule = store.add(new ScheduleController({clock, self: members.self.instance, decisions}));
-			return {scheduler: schedule, load: store.add(new LoadController({...options, schedule}))};
+			return {scheduler: schedule, budgets, load: store.add(new LoadController({...options, schedule}))};
 		}
 	}
 };
--- a/src/filters/admit-filter.ts
+++ b/src/filters/admit-filter.ts
@@ -2,6 +2,7 @@
 import {ErrorKind} from '../common/error-kind.js';
 import {RequestError} from '../common/request-error.js';
 import type {SlotScheduler} from '../common/slot-scheduler.js';
+import {createDemand} from './create-demand.js';
 import type {FilterResult} from './filter-result.js';
 import type {Filter} from './filter.js';
 import type {NextFilter} from './next-filter.js';
@@ -16,23 +17,12 @@
 	}
 
 	async handleRequest(context: RequestContext, next: NextFilter): FilterResult {
-		const {service, rule} = context;
-		if (service === undefined || rule === undefined) {
+		const demand = createDemand(context);
+		if (demand === undefined) {
 			return err(new RequestError(ErrorKind.InternalQueued, 'the request was not classified'));
 		}
 
-		const acquired = await this._scheduler.acquireSlot({
-			service,
-			rule: rule.name,
-			requestClass: rule.class,
-			size: rule.size,
-			idempotent: rule.idempotent,
-			deadlineAt: context.deadlineAt,
-			heldBytes: 0,
-			attempt: context.attempt,
-			excludedTargets: context.excludedTargets,
-			signal: context.signal,
-		});
+		const acquired = await this._scheduler.acquireSlot(demand);
 		if (acquired.isErr()) {
 			return err(acquired.error);
 		}
--- /dev/null
+++ b/src/filters/create-demand.ts
@@ -0,0 +1,21 @@
+import type {SlotDemand} from '../common/slot-demand.js';
+import type {RequestContext} from './request-context.js';
+
+/** What a try asks of the scheduler; undefined for a request that was not classified. */
+export const createDemand = (context: RequestContext): SlotDemand | undefined => {
+	const {service, rule} = context;
+	return service === undefined || rule === undefined
+		? undefined
+		: {
+			service,
+			rule: rule.name,
+			requestClass: rule.class,
+			size: rule.size,
+			idempotent: rule.idempotent,
+			deadlineAt: context.deadlineAt,
+			heldBytes: 0,
+			attempt: context.attempt,
+			excludedTargets: context.excludedTargets,
+			signal: context.signal,
+		};
+};
--- a/src/filters/dispatch-filter.ts
+++ b/src/filters/dispatch-filter.ts
@@ -17,6 +17,7 @@
 import type {TryRecord} from '../policy/try-record.js';
 import type {FilterResult} from './filter-result.js';
 import type {Filter} from './filter.js';
+import {hasBody} from './has-body.js';
 import type {RequestContext} from './request-context.js';
 import {stripHopHeaders} from './strip-hop-headers.js';
 
@@ -90,7 +91,7 @@
 			method: context.request.method ?? 'GET',
 			path: context.request.url ?? '/',
 			rawHeaders: this._createHeaders(context),
-			body: this._hasBody(context) ? context.request : undefined,
+			body: hasBody(context.request) ? context.request : undefined,
 			signal: context.signal,
 		});
 		if (result.isErr()) {
@@ -127,7 +128,9 @@
 				connection.dispose();
 			}
 
-			lease.release(isWhole ? (answer.status >= 500 ? ExchangeEnd.Failed : ExchangeEnd.Answered) : ExchangeEnd.Lost, report);
+			const cutEnd = context.signal.aborted ? ExchangeEnd.Cancelled : ExchangeEnd.Lost;
+			const wholeEnd = answer.status >= 500 ? ExchangeEnd.Failed : ExchangeEnd.Answered;
+			lease.release(isWhole ? wholeEnd : cutEnd, report);
 		};
 
 		if (answer.body.isWhole) {
@@ -148,12 +151,11 @@
 		const omitted = context.span === undefined ? [HeaderName.Timeout] : [HeaderName.Timeout, HeaderName.TraceParent, HeaderName.TraceState];
 		const headers = stripHopHeaders(context.request.rawHeaders, omitted);
 		headers.push(HeaderName.Timeout, String(remainingMs), ...(context.span?.headers ?? []));
-		return headers;
-	}
+		if (context.attempt > 0) {
+			headers.push(HeaderName.Attempt, String(context.attempt));
+		}
 
-	private _hasBody(context: RequestContext): boolean {
-		const {headers} = context.request;
-		return headers['transfer-encoding'] !== undefined || Number(headers['content-length'] ?? 0) > 0;
+		return headers;
 	}
 
 	private _isProvenRefusal(service: ServiceSpec, answer: TargetAnswer): boolean {
--- a/src/filters/retry-filter.ts
+++ b/src/filters/retry-filter.ts
@@ -1,28 +1,79 @@
-import {ErrorKind} from '../common/error-kind.js';
+import type {Result} from 'neverthrow';
+import {HeaderName} from '../common/header-names.js';
+import type {RequestError} from '../common/request-error.js';
+import type {BudgetController} from '../controllers/budget-controller.js';
+import type {TargetAnswer} from '../io/target-answer.js';
+import {isRetryable} from '../policy/schedule/is-retryable.js';
 import type {FilterResult} from './filter-result.js';
 import type {Filter} from './filter.js';
+import {hasBody} from './has-body.js';
 import type {NextFilter} from './next-filter.js';
 import type {RequestContext} from './request-context.js';
 
 const maxAttempts = 3;
+const firstServerError = 500;
 
-/** Tries again after a failure that proves that the request did not run. */
+const hasHeader = (rawHeaders: readonly string[], wanted: string): boolean => rawHeaders.some((name, index) => index % 2 === 0 && name.toLowerCase() === wanted);
+
+/**
+Tries again at another target, within the budget: after a failure that proves that the request did not run, and for
+idempotent requests after any failure of a target. In a chain of calls only the hop nearest the failure does so: an
+answer that says that it was retried, and a request that is itself a later try, are not tried again.
+*/
 export class RetryFilter implements Filter {
+	constructor(private readonly _budgets: BudgetController) {}
+
 	get name(): string {
 		return 'retry';
 	}
 
 	async handleRequest(context: RequestContext, next: NextFilter): FilterResult {
+		const {service} = context;
+		if (service === undefined) {
+			return next(context);
+		}
+
+		this._budgets.addFirstTry(service);
+		const budget = this._budgets.getBudgets(service.name).retry;
 		let result = await next(context);
-		while (result.isErr() && this._isRetryable(result.error.kind) && context.attempt + 1 < maxAttempts && !context.signal.aborted && !context.isDispatched) {
+		while (this._isFailure(result) && this._mayTryAgain(context) && budget.tryTake()) {
+			this._leaveFailedTarget(context, result);
 			context.attempt++;
 			result = await next(context);
 		}
 
+		if (this._isFailure(result)) {
+			context.response.setHeader(HeaderName.Retried, 'true');
+		}
+
 		return result;
 	}
 
-	private _isRetryable(kind: ErrorKind): boolean {
-		return kind === ErrorKind.ConnectFailed || kind === ErrorKind.TargetRefused;
+	private _isFailure(result: Result<TargetAnswer, RequestError>): boolean {
+		if (result.isErr()) {
+			return isRetryable(result.error.kind);
+		}
+
+		return result.value.status >= firstServerError && !hasHeader(result.value.rawHeaders, HeaderName.Retried);
+	}
+
+	private _mayTryAgain(context: RequestContext): boolean {
+		const {attempt, signal, isDispatched, rule, request} = context;
+		if (attempt + 1 >= maxAttempts || signal.aborted || request.headers[HeaderName.Attempt] !== undefined) {
+			return false;
+		}
+
+		return hasBody(request) ? !isDispatched && !request.readableDidRead : !isDispatched || (rule?.idempotent ?? false);
+	}
+
+	private _leaveFailedTarget(context: RequestContext, result: Result<TargetAnswer, RequestError>): void {
+		if (result.isOk()) {
+			result.value.body.discard();
+		}
+
+		const target = context.lease?.target.id;
+		if (target !== undefined && !context.excludedTargets.includes(target)) {
+			context.excludedTargets.push(target);
+		}
 	}
 }
