--- /dev/null
+++ b/src/policy/configuration/configuration-entry.ts
@@ -0,0 +1,10 @@
+/** One revision of a configuration value. */
+export type ConfigurationEntry = {
+	/** Key below the prefix, such as `templates/catalogue`. */
+	readonly key: string;
+	/** Index of the configuration service at which the value was last changed. */
+	readonly revision: number;
+	/** Text of the value; undefined when the key was deleted at this revision. */
+	readonly text: string | undefined;
+	readonly digest: string;
+};
