--- a/src/bin/entry-daemon.ts
+++ b/src/bin/entry-daemon.ts
@@ -9,6 +9,7 @@
 import {ConfigurationController} from '../controllers/configuration-controller.js';
 import {ConnectionController} from '../controllers/connection-controller.js';
 import {createScheduler} from '../controllers/create-scheduler.js';
+import {FleetController} from '../controllers/fleet-controller.js';
 import {MembershipController} from '../controllers/membership-controller.js';
 import {PeerController} from '../controllers/peer-controller.js';
 import {RouteController} from '../controllers/route-controller.js';
@@ -24,7 +25,6 @@
 import {HttpListener} from '../io/http-listener.js';
 import {LoadClient} from '../io/load-client.js';
 import {PeerServer} from '../io/peer/peer-server.js';
-import {PlatformClient} from '../io/platform-client.js';
 import {systemClock} from '../io/system-clock.js';
 import {DataListener} from './data-listener.js';
 
@@ -52,6 +52,7 @@
 	private readonly _logger: DebugLogger;
 	private readonly _members: MembershipController;
 	private readonly _configuration: ConfigurationController;
+	private readonly _fleet: FleetController;
 	private readonly _routes: RouteController;
 	private readonly _chain: FilterChain;
 	private readonly _dataListener: DataListener;
@@ -61,17 +62,19 @@
 
 	constructor(private readonly _settings: EntrySettings) {
 		this._logger = new DebugLogger(_settings.instance.id, 'entry');
-		this._members = this._store.add(new MembershipController(createInstance(_settings), Date.now()));
-		const platform = this._store.add(new PlatformClient(_settings.platform.urls[0] ?? ''));
-		this._configuration = this._store.add(new ConfigurationController({
-			platform, prefix: _settings.platform.prefix, waitMs: _settings.platform.waitMs, logger: this._logger,
+		this._members = this._store.add(new MembershipController({
+			self: createInstance(_settings), incarnation: Date.now(), clock: systemClock, logger: this._logger,
 		}));
+		this._configuration = this._store.add(new ConfigurationController({clock: systemClock, logger: this._logger}));
 		this._store.add(this._configuration.onInstanceList(list => {
 			this._members.acceptInstanceList(list);
 		}));
-		this._store.add(new PeerController(this._members));
+		const peers = this._store.add(new PeerController(this._members));
+		this._fleet = this._store.add(new FleetController({
+			settings: _settings, members: this._members, configuration: this._configuration, peers, clock: systemClock, random: Math.random, logger: this._logger,
+		}));
 		this._routes = this._store.add(new RouteController({
-			..._settings.routes, catalog: this._configuration, members: this._members, clock: systemClock, isListStale: () => false,
+			..._settings.routes, catalog: this._configuration, members: this._members, clock: systemClock, isListStale: () => this._fleet.isListStale,
 		}));
 		this._chain = this._createChain();
 		this._dataListener = this._store.add(new DataListener({limits: _settings.limits, chain: this._chain, clock: systemClock}));
@@ -81,19 +84,17 @@
 		this._operatorListener = this._store.add(new HttpListener({}, (_request, response) => {
 			writeJson(response, 200, this.describeStatus());
 		}));
-		this._peerServer = this._store.add(new PeerServer({describeSelf: () => this._members.self}));
+		this._peerServer = this._store.add(new PeerServer({describeSelf: () => this._members.self, fleet: this._fleet.handlers}));
 	}
 
 	/** Reads the configuration and opens the listeners; an error names the address that failed. */
 	async start(): Promise<Result<void, Error>> {
-		await this._configuration.start();
 		const {listeners} = this._settings;
-		const results = await Promise.all([
-			this._operatorListener.listen(listeners.operator),
-			this._peerServer.listener.listen(listeners.peer),
-			this._routeListener.listen(listeners.route),
-			this._dataListener.listener.listen(listeners.data),
-		]);
+		// Peers that start at the same time need this one's answers before it serves callers.
+		const inner = await Promise.all([this._operatorListener.listen(listeners.operator), this._peerServer.listener.listen(listeners.peer)]);
+		await this._fleet.start();
+		const outer = await Promise.all([this._routeListener.listen(listeners.route), this._dataListener.listener.listen(listeners.data)]);
+		const results = [...inner, ...outer];
 		const failed = results.find(result => result.isErr());
 		if (failed?.isErr()) {
 			return err(failed.error);
@@ -105,11 +106,7 @@
 
 	/** What this instance believes, for operators. */
 	describeStatus(): unknown {
-		return {
-			self: this._members.self,
-			members: this._members.listMembers(),
-			services: this._configuration.listServices().map(service => service.name),
-		};
+		return this._fleet.describeStatus();
 	}
 
 	dispose(): void {
--- a/src/common/entry-settings-schema.ts
+++ b/src/common/entry-settings-schema.ts
@@ -32,7 +32,15 @@
 		prefix: z.string().min(1).default('rattansill'),
 		/** Longest time for which one watch waits, in ms. */
 		waitMs: z.int().min(100).max(600_000).default(30_000),
+		/** Calls a second that all entry instances together may make, a waiting watch counted as one. */
+		callsPerSecond: z.int().min(1).max(1_000_000).default(2000),
+		/** Instances that watch each key and pass it on. */
+		readersPerKey: z.int().min(1).max(16).default(2),
 	}),
+	peers: z.strictObject({
+		/** Peer ports to ask when the instance list cannot be read. */
+		seeds: z.array(z.strictObject({host: z.string().min(1), port})).max(64).default([]),
+	}).prefault({}),
 	limits: z.strictObject({
 		/** Request headers, in bytes. */
 		headerBytes: z.int().min(1024).max(1_048_576).default(16_384),
--- a/src/controllers/configuration-controller.ts
+++ b/src/controllers/configuration-controller.ts
@@ -1,40 +1,45 @@
-import {setTimeout as sleep} from 'node:timers/promises';
-import {type z} from 'zod';
+import type {Clock} from '../common/clock.js';
 import {convertZodError} from '../common/convert-zod-error.js';
 import type {DisposableLike} from '../common/disposable-like.js';
 import {Emitter} from '../common/emitter.js';
 import {instanceListSchema} from '../common/instance-list-schema.js';
 import type {InstanceList} from '../common/instance-list.js';
 import type {Logger} from '../common/logger.js';
-import {parametersSchema} from '../common/parameters-schema.js';
-import type {Parameters} from '../common/parameters.js';
-import {renderService} from '../common/render-service.js';
 import type {ServiceCatalog} from '../common/service-catalog.js';
 import type {ServiceSpec} from '../common/service-spec.js';
-import {templateSchema} from '../common/template-schema.js';
-import type {Template} from '../common/template.js';
-import type {PlatformClient} from '../io/platform-client.js';
-import type {PlatformValue} from '../io/platform-value.js';
-
-const retryMs = 500;
+import type {ConfigurationEntry} from '../policy/configuration/configuration-entry.js';
+import {OfferResult} from '../policy/configuration/offer-result.js';
+import type {RefusedValue} from '../policy/configuration/refused-value.js';
+import {RevisionStore} from '../policy/configuration/revision-store.js';
+import {ServiceBook} from '../policy/configuration/service-book.js';
+import type {ServiceInForce} from '../policy/configuration/service-in-force.js';
 
 type ConfigurationOptions = {
-	readonly platform: PlatformClient;
-	readonly prefix: string;
-	readonly waitMs: number;
+	readonly clock: Clock;
 	readonly logger: Logger;
 };
+type WantedKey = {readonly key: string; readonly revision: number; readonly since: number};
+type AcceptedEntry = {
+	readonly entry: ConfigurationEntry;
+	/** Peer from which the revision came; undefined for the configuration service. */
+	readonly source: string | undefined;
+};
 
-/** Reads and watches templates, parameters and the instance list, and renders the services in force. */
+const instancesKey = 'instances';
+const isServiceKey = (key: string): boolean => key.startsWith('templates/') || key.startsWith('parameters/');
+
+/** Holds the configuration in force at this instance, wherever its revisions come from. */
 export class ConfigurationController implements ServiceCatalog, DisposableLike {
-	private readonly _abort = new AbortController();
-	private readonly _templates = new Map<string, Template>();
-	private readonly _parameters = new Map<string, Parameters>();
-	private readonly _services = new Map<string, ServiceSpec>();
-	private readonly _revisions = new Map<string, number>();
+	private readonly _store = new RevisionStore();
+	private readonly _book = new ServiceBook(this._store);
+	private readonly _wanted = new Map<string, WantedKey>();
+	private readonly _specs = new Map<string, ServiceSpec>();
 	private readonly _onServiceChanged = new Emitter<ServiceSpec>();
 	private readonly _onServiceRemoved = new Emitter<string>();
 	private readonly _onInstanceList = new Emitter<InstanceList>();
+	private readonly _onAccepted = new Emitter<AcceptedEntry>();
+	private _refusedList: RefusedValue | undefined;
+	private _digest: number | undefined;
 
 	constructor(private readonly _options: ConfigurationOptions) {}
 
@@ -46,153 +51,174 @@
 		return this._onServiceRemoved.event;
 	}
 
-	/** Fires when a newer instance list was read. */
+	/** Fires when a newer instance list is in force. */
 	get onInstanceList() {
 		return this._onInstanceList.event;
 	}
 
-	/** Starts the watches; resolves after the first attempt to read everything. */
-	async start(): Promise<void> {
-		const listed = await this._options.platform.listKeys(`${this._options.prefix}/`);
-		if (listed.isErr()) {
-			this._options.logger.logError('platform-read-failed', {key: this._options.prefix, error: listed.error.message});
-			void this._watchKeys(0);
-			return;
-		}
-
-		await Promise.all(listed.value.keys.map(async key => this._watchFirst(key)));
-		void this._watchKeys(listed.value.watchIndex);
+	/** Fires when a newer revision of any key was taken. */
+	get onAccepted() {
+		return this._onAccepted.event;
 	}
 
-	getService(name: string): ServiceSpec | undefined {
-		return this._services.get(name);
+	/** Digest of the newest revisions. */
+	get digest(): number {
+		this._digest ??= this._store.computeDigest();
+		return this._digest;
 	}
 
-	listServices(): readonly ServiceSpec[] {
-		return [...this._services.values()];
+	/** Keys that are known, deleted ones included. */
+	get keys(): readonly string[] {
+		return this._store.keys;
 	}
 
-	dispose(): void {
-		this._abort.abort();
+	/** Values of the newest revision that are not in force. */
+	get refused(): readonly RefusedValue[] {
+		return this._refusedList === undefined ? this._book.refused : [...this._book.refused, this._refusedList];
 	}
 
-	private async _watchKeys(startIndex: number): Promise<void> {
-		let index = startIndex;
-		const {signal} = this._abort;
-		while (!signal.aborted) {
-			const listed = await this._options.platform.listKeys(`${this._options.prefix}/`, {index, waitMs: this._options.waitMs, signal});
-			if (listed.isErr()) {
-				await sleep(retryMs);
-				continue;
-			}
+	getService(name: string): ServiceSpec | undefined {
+		return this._specs.get(name);
+	}
 
-			index = listed.value.watchIndex;
-			for (const key of listed.value.keys) {
-				if (!this._revisions.has(key)) {
-					void this._watchFirst(key);
-				}
-			}
-		}
+	listServices(): readonly ServiceSpec[] {
+		return [...this._specs.values()];
 	}
 
-	private async _watchFirst(key: string): Promise<void> {
-		this._revisions.set(key, 0);
-		const first = await this._options.platform.readValue(key);
-		if (first.isOk()) {
-			this._acceptValue(first.value);
-		}
+	/** The services in force with the revisions from which they were rendered. */
+	listInForce(): readonly ServiceInForce[] {
+		return this._book.listServices();
+	}
 
-		void this._watchValue(key, first.isOk() ? first.value.watchIndex : 0);
+	getNewest(key: string): ConfigurationEntry | undefined {
+		return this._store.getNewest(key);
 	}
 
-	private async _watchValue(key: string, startIndex: number): Promise<void> {
-		let index = startIndex;
-		const {signal} = this._abort;
-		while (!signal.aborted) {
-			const read = await this._options.platform.readValue(key, {index, waitMs: this._options.waitMs, signal});
-			if (read.isErr()) {
-				await sleep(retryMs);
-				continue;
-			}
+	/** Every revision held, older ones on which a service depends included. */
+	listEntries(): readonly ConfigurationEntry[] {
+		return this._store.listEntries();
+	}
 
-			index = read.value.watchIndex;
-			this._acceptValue(read.value);
-		}
+	/** True when some service that has parameters is not in force, so that an older revision may help. */
+	get hasMissingService(): boolean {
+		return this._store.keys.some(key => key.startsWith('parameters/') && this._store.getNewest(key)?.text !== undefined && !this._specs.has(key.slice('parameters/'.length)));
 	}
 
-	private _acceptValue(value: PlatformValue): void {
-		if (value.text === undefined || value.modifyIndex <= (this._revisions.get(value.key) ?? 0)) {
-			return;
+	/** Takes a revision if it is newer than what is held; an older one only for a service that would be missing otherwise. */
+	offerEntry(entry: ConfigurationEntry, source: string | undefined): OfferResult {
+		if (entry.key !== instancesKey && !isServiceKey(entry.key)) {
+			return OfferResult.Known;
 		}
 
-		this._revisions.set(value.key, value.modifyIndex);
-		const kind = value.key.slice(this._options.prefix.length + 1).split('/')[0] ?? '';
-		switch (kind) {
-			case 'templates': {
-				this._parse(value, templateSchema, template => {
-					this._templates.set(template.name, template);
-				});
+		const result = this._store.offer(entry);
+		switch (result) {
+			case OfferResult.Newer: {
+				this._digest = undefined;
+				this._applyEntry(entry);
+				this._onAccepted.fire({entry, source});
 				break;
 			}
 
-			case 'parameters': {
-				this._parse(value, parametersSchema, parameters => {
-					this._parameters.set(parameters.service, parameters);
-				});
+			case OfferResult.Older: {
+				if (isServiceKey(entry.key) && this.hasMissingService) {
+					this._store.addOlder(entry);
+					this._applyEntry(entry);
+				}
+
 				break;
 			}
 
-			case 'instances': {
-				this._parse(value, instanceListSchema, list => {
-					this._onInstanceList.fire(list);
-				});
-				return;
+			case OfferResult.Conflict: {
+				this._options.logger.logError('configuration-conflict', {key: entry.key, revision: entry.revision, source});
+				break;
 			}
 
-			default: {
-				return;
+			case OfferResult.Known: {
+				break;
 			}
 		}
 
-		this._renderAll();
+		const wanted = this._wanted.get(entry.key);
+		if (wanted !== undefined && (this._store.getNewest(entry.key)?.revision ?? 0) >= wanted.revision) {
+			this._wanted.delete(entry.key);
+		}
+
+		return result;
 	}
 
-	private _parse<T extends z.ZodType>(value: PlatformValue, schema: T, accept: (parsed: z.infer<T>) => void): void {
-		let input: unknown;
-		try {
-			input = JSON.parse(value.text ?? '');
-		} catch (error) {
-			this._options.logger.logError('configuration-refused', {key: value.key, revision: value.modifyIndex, errors: [(error as Error).message]});
+	/** Notes that a revision exists which this instance does not hold. */
+	markWanted(key: string, revision: number): void {
+		const held = this._store.getNewest(key)?.revision ?? 0;
+		const known = this._wanted.get(key);
+		if (revision > held && revision > (known?.revision ?? 0)) {
+			this._wanted.set(key, {key, revision, since: known?.since ?? this._options.clock.now()});
+		}
+	}
+
+	/** Revisions that exist but have not come. */
+	listWanted(): readonly WantedKey[] {
+		return [...this._wanted.values()];
+	}
+
+	dispose(): void {
+		this._onServiceChanged.dispose();
+		this._onServiceRemoved.dispose();
+		this._onInstanceList.dispose();
+		this._onAccepted.dispose();
+	}
+
+	private _applyEntry(entry: ConfigurationEntry): void {
+		if (entry.key === instancesKey) {
+			this._applyInstanceList(entry);
 			return;
 		}
 
-		const checked = schema.safeParse(input);
-		if (checked.success) {
-			accept(checked.data);
+		for (const {name, after} of this._book.renderChanges(entry.key)) {
+			this._applyService(name, after);
+		}
+
+		this._store.discardUnused(item => this._book.isUsed(item));
+		this._book.discardUnused();
+		for (const refused of this._book.refused) {
+			if (refused.key === entry.key && refused.revision === entry.revision) {
+				this._options.logger.logError('configuration-refused', refused);
+			}
+		}
+	}
+
+	private _applyService(name: string, after: ServiceInForce | undefined): void {
+		if (after === undefined) {
+			this._specs.delete(name);
+			this._options.logger.logInfo('service-removed', {service: name});
+			this._onServiceRemoved.fire(name);
 			return;
 		}
 
-		this._options.logger.logError('configuration-refused', {key: value.key, revision: value.modifyIndex, errors: convertZodError(checked.error, input)});
+		this._specs.set(name, after.spec);
+		this._options.logger.logInfo('service-in-force', {service: name, parameters: after.parametersRevision, template: after.templateRevision});
+		this._onServiceChanged.fire(after.spec);
 	}
 
-	private _renderAll(): void {
-		for (const parameters of this._parameters.values()) {
-			const template = this._templates.get(parameters.template);
-			if (template === undefined) {
-				continue;
-			}
+	private _applyInstanceList(entry: ConfigurationEntry): void {
+		this._refusedList = undefined;
+		if (entry.text === undefined) {
+			return;
+		}
 
-			const rendered = renderService(template, parameters);
-			if (rendered.isErr()) {
-				this._options.logger.logError('service-refused', {service: parameters.service, errors: rendered.error});
-				continue;
-			}
+		let input: unknown;
+		try {
+			input = JSON.parse(entry.text);
+		} catch {
+			input = undefined;
+		}
 
-			const before = this._services.get(parameters.service);
-			if (JSON.stringify(before) !== JSON.stringify(rendered.value)) {
-				this._services.set(parameters.service, rendered.value);
-				this._onServiceChanged.fire(rendered.value);
-			}
+		const checked = instanceListSchema.safeParse(input);
+		if (checked.success) {
+			this._onInstanceList.fire(checked.data);
+			return;
 		}
+
+		this._refusedList = {key: entry.key, revision: entry.revision, errors: convertZodError(checked.error, input)};
+		this._options.logger.logError('configuration-refused', this._refusedList);
 	}
 }
--- /dev/null
+++ b/src/controllers/configuration-exchange.ts
@@ -0,0 +1,230 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {DisposableLike} from '../common/disposable-like.js';
+import {DisposableStore} from '../common/disposable-store.js';
+import type {Logger} from '../common/logger.js';
+import {MemberState} from '../common/member-state.js';
+import type {RevisionRef} from '../io/peer/revision-ref.js';
+import type {ValuePart} from '../io/peer/value-part.js';
+import type {ValueRequest} from '../io/peer/value-request.js';
+import {computeDigest} from '../policy/compute-digest.js';
+import type {ConfigurationEntry} from '../policy/configuration/configuration-entry.js';
+import type {ConfigurationController} from './configuration-controller.js';
+import type {MembershipController} from './membership-controller.js';
+import type {PeerController} from './peer-controller.js';
+
+type ExchangeOptions = {
+	readonly configuration: ConfigurationController;
+	readonly members: MembershipController;
+	readonly peers: PeerController;
+	readonly random: () => number;
+	readonly logger: Logger;
+	/** Peers to which news goes at once. */
+	readonly getToldPeers: () => readonly string[];
+};
+
+/** Characters of one answer; larger values go in several. */
+const chunkCharacters = 65_536;
+/** Pause between two chunks, which bounds a bulk transfer to about 2.5 MB/s. */
+const chunkPauseMs = 25;
+const maxValueCharacters = 1_048_576;
+const requestsPerCall = 64;
+const callTimeoutMs = 2000;
+const announceDelayMs = 5;
+/** Peers that a new process asks. */
+const startPeers = 3;
+
+const createRef = ({key, revision, digest, text}: ConfigurationEntry): RevisionRef => ({
+	key, revision, digest, length: text?.length,
+});
+
+/** Passes configuration on between peers: revisions are announced, and fetched by those who lack them. */
+export class ConfigurationExchange implements DisposableLike {
+	private readonly _store = new DisposableStore();
+	private readonly _fetching = new Map<string, number>();
+	private readonly _reconciling = new Set<string>();
+	private _news: Array<{readonly ref: RevisionRef; readonly source: string | undefined}> = [];
+	private _newsTimer: NodeJS.Timeout | undefined;
+
+	constructor(private readonly _options: ExchangeOptions) {
+		this._store.add(_options.configuration.onAccepted(({entry, source}) => {
+			this._queueNews(createRef(entry), source);
+		}));
+	}
+
+	/** Asks several peers for everything they hold; resolves when they answered or timed out. */
+	async loadFromPeers(): Promise<void> {
+		const {members, random} = this._options;
+		const known = members.listMembers().filter(({instance, state}) => instance.id !== members.self.instance.id && state !== MemberState.Suspect);
+		const picked = known.map(member => ({id: member.instance.id, order: random()})).sort((a, b) => a.order - b.order).slice(0, startPeers);
+		await Promise.all(picked.map(async ({id}) => this.reconcileWith(id)));
+	}
+
+	/** Compares all revisions with a peer: fetches what it has newer and tells it what it lacks. */
+	async reconcileWith(id: string): Promise<void> {
+		const client = this._options.peers.getClient(id);
+		if (client === undefined || this._reconciling.has(id)) {
+			return;
+		}
+
+		this._reconciling.add(id);
+		try {
+			const theirs = await client.api.fleet.listRevisions.query(undefined, {signal: AbortSignal.timeout(callTimeoutMs)});
+			await this._fetch(this._chooseMissing(theirs), id);
+			const newest = new Map<string, number>();
+			for (const {key, revision} of theirs) {
+				newest.set(key, Math.max(newest.get(key) ?? 0, revision));
+			}
+
+			const lacking = this._options.configuration.listEntries().filter(({key, revision}) => revision > (newest.get(key) ?? 0));
+			if (lacking.length > 0) {
+				await client.api.fleet.announce.mutate(lacking.map(entry => createRef(entry)), {signal: AbortSignal.timeout(callTimeoutMs)});
+			}
+		} catch (error) {
+			this._options.logger.logDebug('configuration-exchange-failed', {peer: id, error: (error as Error).message});
+		} finally {
+			this._reconciling.delete(id);
+		}
+	}
+
+	acceptAnnouncement(refs: readonly RevisionRef[], callerId: string): void {
+		const missing = refs.filter(ref => this._isNewer(ref));
+		for (const {key, revision} of missing) {
+			this._options.configuration.markWanted(key, revision);
+		}
+
+		void this._fetch(missing.filter(({key, revision}) => revision > (this._fetching.get(key) ?? 0)), callerId);
+	}
+
+	listRevisions(): readonly RevisionRef[] {
+		return this._options.configuration.listEntries().map(entry => createRef(entry));
+	}
+
+	readValues(requests: readonly ValueRequest[]): readonly ValuePart[] {
+		const held = new Map(this._options.configuration.listEntries().map(entry => [`${entry.key}@${entry.revision}`, entry]));
+		const parts: ValuePart[] = [];
+		let room = chunkCharacters;
+		for (const {key, revision, offset} of requests) {
+			const text = held.get(`${key}@${revision}`)?.text;
+			if (text === undefined || room <= 0) {
+				continue;
+			}
+
+			const part = text.slice(offset, offset + room);
+			room -= part.length;
+			parts.push({
+				key, revision, offset, text: part,
+			});
+		}
+
+		return parts;
+	}
+
+	dispose(): void {
+		clearTimeout(this._newsTimer);
+		this._store.dispose();
+	}
+
+	private _isNewer({key, revision}: RevisionRef): boolean {
+		return revision > (this._options.configuration.getNewest(key)?.revision ?? 0);
+	}
+
+	private _chooseMissing(refs: readonly RevisionRef[]): RevisionRef[] {
+		const newer = refs.filter(ref => this._isNewer(ref));
+		const older = this._options.configuration.hasMissingService || newer.length > 0
+			? refs.filter(ref => !this._isNewer(ref) && ref.revision < (this._options.configuration.getNewest(ref.key)?.revision ?? 0))
+			: [];
+		// Newer revisions first, so that an older one is never in force on the way.
+		return [...newer.sort((a, b) => b.revision - a.revision), ...older];
+	}
+
+	private async _fetch(refs: readonly RevisionRef[], peerId: string): Promise<void> {
+		for (const {key, revision} of refs) {
+			this._fetching.set(key, Math.max(revision, this._fetching.get(key) ?? 0));
+		}
+
+		try {
+			for (let start = 0; start < refs.length; start += requestsPerCall) {
+				await this._fetchBatch(refs.slice(start, start + requestsPerCall), peerId);
+			}
+		} catch (error) {
+			this._options.logger.logDebug('configuration-fetch-failed', {peer: peerId, error: (error as Error).message});
+		} finally {
+			for (const {key, revision} of refs) {
+				if (this._fetching.get(key) === revision) {
+					this._fetching.delete(key);
+				}
+			}
+		}
+	}
+
+	private async _fetchBatch(refs: readonly RevisionRef[], peerId: string): Promise<void> {
+		const open = new Map<string, {readonly ref: RevisionRef; text: string}>();
+		for (const ref of refs) {
+			if (ref.length === undefined) {
+				this._offer(ref, undefined, peerId);
+			} else if (ref.length <= maxValueCharacters) {
+				open.set(`${ref.key}@${ref.revision}`, {ref, text: ''});
+			}
+		}
+
+		while (open.size > 0) {
+			const client = this._options.peers.getClient(peerId);
+			const requests = [...open.values()].map(({ref, text}) => ({key: ref.key, revision: ref.revision, offset: text.length}));
+			const parts = await client?.api.fleet.readValues.query(requests, {signal: AbortSignal.timeout(callTimeoutMs)});
+			if (parts === undefined || parts.length === 0) {
+				return;
+			}
+
+			for (const part of parts) {
+				const id = `${part.key}@${part.revision}`;
+				const item = open.get(id);
+				if (item?.text.length !== part.offset) {
+					continue;
+				}
+
+				item.text += part.text;
+				if (item.text.length >= (item.ref.length ?? 0)) {
+					open.delete(id);
+					this._offer(item.ref, item.text, peerId);
+				}
+			}
+
+			if (open.size > 0) {
+				await sleep(chunkPauseMs);
+			}
+		}
+	}
+
+	private _offer(ref: RevisionRef, text: string | undefined, peerId: string): void {
+		if (computeDigest(text ?? '') !== ref.digest) {
+			this._options.logger.logError('configuration-damaged', {key: ref.key, revision: ref.revision, peer: peerId});
+			return;
+		}
+
+		this._options.configuration.offerEntry({
+			key: ref.key, revision: ref.revision, digest: ref.digest, text,
+		}, peerId);
+	}
+
+	private _queueNews(ref: RevisionRef, source: string | undefined): void {
+		this._news.push({ref, source});
+		this._newsTimer ??= setTimeout(() => {
+			this._newsTimer = undefined;
+			const news = this._news;
+			this._news = [];
+			for (const id of this._options.getToldPeers()) {
+				void this._announce(id, news.filter(item => item.source !== id).map(item => item.ref));
+			}
+		}, announceDelayMs);
+	}
+
+	private async _announce(id: string, refs: RevisionRef[]): Promise<void> {
+		try {
+			if (refs.length > 0) {
+				await this._options.peers.getClient(id)?.api.fleet.announce.mutate(refs, {signal: AbortSignal.timeout(callTimeoutMs)});
+			}
+		} catch {
+			// The peer hears of it from its other neighbours or when digests are compared.
+		}
+	}
+}
--- /dev/null
+++ b/src/controllers/fleet-controller.ts
@@ -0,0 +1,108 @@
+import type {Clock} from '../common/clock.js';
+import type {DisposableLike} from '../common/disposable-like.js';
+import {DisposableStore} from '../common/disposable-store.js';
+import type {EntrySettings} from '../common/entry-settings.js';
+import type {FleetStatus} from '../common/fleet-status.js';
+import type {Logger} from '../common/logger.js';
+import type {FleetHandlers} from '../io/peer/fleet-handlers.js';
+import {PlatformClient} from '../io/platform-client.js';
+import type {ConfigurationController} from './configuration-controller.js';
+import {ConfigurationExchange} from './configuration-exchange.js';
+import {GossipController} from './gossip-controller.js';
+import type {MembershipController} from './membership-controller.js';
+import type {PeerController} from './peer-controller.js';
+import {PlatformReader} from './platform-reader.js';
+
+type FleetOptions = {
+	readonly settings: Pick<EntrySettings, 'platform' | 'peers'>;
+	readonly members: MembershipController;
+	readonly configuration: ConfigurationController;
+	readonly peers: PeerController;
+	readonly clock: Clock;
+	readonly random: () => number;
+	readonly logger: Logger;
+};
+
+/** Age of the last answer of the configuration service from which on the instance list counts as old, in ms. */
+const staleMs = 30_000;
+/** Longest time for which a new process waits for its first configuration, in ms. */
+const startLimitMs = 4000;
+
+/** Connects this instance with its peers and the configuration service. */
+export class FleetController implements DisposableLike {
+	private readonly _store = new DisposableStore();
+	private readonly _exchange: ConfigurationExchange;
+	private readonly _gossip: GossipController;
+	private readonly _reader: PlatformReader;
+	private readonly _startedAt: number;
+
+	constructor(private readonly _options: FleetOptions) {
+		const {settings, configuration, clock} = _options;
+		this._startedAt = clock.now();
+		this._exchange = this._store.add(new ConfigurationExchange({..._options, getToldPeers: () => this._gossip.toldPeers}));
+		this._gossip = this._store.add(new GossipController({
+			..._options,
+			seeds: settings.peers.seeds,
+			getConfigurationDigest: () => configuration.digest,
+			onConfigurationDiffers: id => {
+				void this._exchange.reconcileWith(id);
+			},
+		}));
+		this._reader = this._store.add(new PlatformReader({
+			..._options, ...settings.platform, platform: this._store.add(new PlatformClient(settings.platform.urls)),
+		}));
+	}
+
+	/** What the peers may ask of this instance. */
+	get handlers(): FleetHandlers {
+		const gossip = this._gossip;
+		const exchange = this._exchange;
+		return {
+			answerPing: message => gossip.answerPing(message),
+			relayPing: async id => gossip.relayPing(id),
+			acceptRecords: records => gossip.acceptRecords(records),
+			reconcileRecords: summaries => gossip.reconcileRecords(summaries),
+			acceptAnnouncement(refs, callerId) {
+				exchange.acceptAnnouncement(refs, callerId);
+			},
+			listRevisions: () => exchange.listRevisions(),
+			readValues: requests => exchange.readValues(requests),
+		};
+	}
+
+	/** True when the configuration service has not answered this instance for long. */
+	get isListStale(): boolean {
+		return (this._reader.readAgeMs ?? this._options.clock.now() - this._startedAt) > staleMs;
+	}
+
+	/** Learns members and configuration from peers and the service, and takes the newest of each. */
+	async start(): Promise<void> {
+		await this._reader.readInstances();
+		await this._gossip.join(',');
+		await this._exchange.loadFromPeers();
+		this._gossip.start();
+		await this._reader.start(startLimitMs);
+	}
+
+	/** What this instance believes of the fleet. */
+	describeStatus(): FleetStatus {
+		const {members, configuration} = this._options;
+		return {
+			self: members.self,
+			members: members.listRecords(),
+			watchedPeers: this._gossip.watchedPeers,
+			services: configuration.listInForce().map(({spec, parametersRevision, template, templateRevision}) => ({
+				name: spec.name, parametersRevision, template, templateRevision,
+			})),
+			revisions: Object.fromEntries(configuration.keys.map(key => [key, configuration.getNewest(key)?.revision ?? 0])),
+			refused: configuration.refused,
+			platform: {
+				watchedKeys: this._reader.watchedKeys, callCount: this._reader.callCount, ...this._reader.budget, readAgeMs: this._reader.readAgeMs, isStale: this.isListStale,
+			},
+		};
+	}
+
+	dispose(): void {
+		this._store.dispose();
+	}
+}
--- a/src/controllers/peer-controller.ts
+++ b/src/controllers/peer-controller.ts
@@ -1,5 +1,7 @@
 import type {DisposableLike} from '../common/disposable-like.js';
 import {DisposableStore} from '../common/disposable-store.js';
+import {Emitter} from '../common/emitter.js';
+import type {Instance} from '../common/instance.js';
 import type {MemberDirectory} from '../common/member-directory.js';
 import {PeerClient} from '../io/peer/peer-client.js';
 
@@ -9,6 +11,7 @@
 export class PeerController implements DisposableLike {
 	private readonly _clients = new Map<string, KeptClient>();
 	private readonly _store = new DisposableStore();
+	private readonly _onClosed = new Emitter<string>();
 
 	constructor(private readonly _members: MemberDirectory) {
 		this._store.add(_members.onMembersChanged(() => {
@@ -16,24 +19,26 @@
 		}));
 	}
 
+	/** Fires with the id of a peer whose connection was closed. */
+	get onClosed() {
+		return this._onClosed.event;
+	}
+
 	/** The client of a peer; undefined for this instance itself and for unknown members. */
 	getClient(instanceId: string): PeerClient | undefined {
 		const member = this._members.listMembers().find(candidate => candidate.instance.id === instanceId);
-		if (member === undefined || instanceId === this._members.self.instance.id) {
-			return undefined;
-		}
+		return member === undefined ? undefined : this._keepClient(member.instance);
+	}
 
-		const {host, peerPort} = member.instance;
-		const address = `${host}:${peerPort}`;
-		const kept = this._clients.get(instanceId);
-		if (kept?.address === address) {
-			return kept.client;
-		}
+	/** Creates a client of any address, for the caller to dispose. */
+	createClient(address: Readonly<{host: string; port: number}>): PeerClient {
+		return new PeerClient(address, this._members.self.instance.id);
+	}
 
-		kept?.client.dispose();
-		const client = new PeerClient({host, port: peerPort}, this._members.self.instance.id);
-		this._clients.set(instanceId, {address, client});
-		return client;
+	/** Drops the client of a peer, so that the next use opens a new connection. */
+	dropClient(instanceId: string): void {
+		this._clients.get(instanceId)?.client.dispose();
+		this._clients.delete(instanceId);
 	}
 
 	dispose(): void {
@@ -45,12 +50,31 @@
 		this._clients.clear();
 	}
 
+	private _keepClient({id, host, peerPort}: Instance): PeerClient | undefined {
+		if (id === this._members.self.instance.id) {
+			return undefined;
+		}
+
+		const address = `${host}:${peerPort}`;
+		const kept = this._clients.get(id);
+		if (kept?.address === address) {
+			return kept.client;
+		}
+
+		kept?.client.dispose();
+		const client = this.createClient({host, port: peerPort});
+		client.onClosed(() => {
+			this._onClosed.fire(id);
+		});
+		this._clients.set(id, {address, client});
+		return client;
+	}
+
 	private _dropGone(): void {
 		const known = new Set(this._members.listMembers().map(member => member.instance.id));
-		for (const [id, {client}] of this._clients) {
+		for (const id of this._clients.keys()) {
 			if (!known.has(id)) {
-				client.dispose();
-				this._clients.delete(id);
+				this.dropClient(id);
 			}
 		}
 	}
--- /dev/null
+++ b/src/controllers/platform-reader.ts
@@ -0,0 +1,369 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {Result} from 'neverthrow';
+import type {Clock} from '../common/clock.js';
+import type {DisposableLike} from '../common/disposable-like.js';
+import {DisposableStore} from '../common/disposable-store.js';
+import type {Logger} from '../common/logger.js';
+import {MemberState} from '../common/member-state.js';
+import type {PlatformClient} from '../io/platform-client.js';
+import type {PlatformValue} from '../io/platform-value.js';
+import {computeDigest} from '../policy/compute-digest.js';
+import {ReadBudget} from '../policy/configuration/read-budget.js';
+import {chooseEntries} from '../policy/routes/choose-entries.js';
+import type {ConfigurationController} from './configuration-controller.js';
+import type {MembershipController} from './membership-controller.js';
+
+type ReaderOptions = {
+	readonly platform: PlatformClient;
+	readonly configuration: ConfigurationController;
+	readonly members: MembershipController;
+	readonly clock: Clock;
+	readonly random: () => number;
+	readonly logger: Logger;
+	/** Prefix below which the operators publish. */
+	readonly prefix: string;
+	/** Longest time for which one watch waits, in ms. */
+	readonly waitMs: number;
+	/** Calls a second over all instances. */
+	readonly callsPerSecond: number;
+	readonly readersPerKey: number;
+};
+
+const instancesKey = 'instances';
+/** Name under which the readers of the key listing are chosen. */
+const listingName = '(keys)';
+const tickMs = 100;
+const settleMs = 100;
+/** Time after which a revision that peers should have passed on is read from the service, in ms. */
+const lateMs = 1500;
+const lateSpreadMs = 1500;
+const startLateMs = 200;
+const startLateSpreadMs = 500;
+const auditMs = 5000;
+const minRetryMs = 250;
+const maxRetryMs = 8000;
+/** Failed calls in a row after which this instance says that it cannot read. */
+const failureLimit = 3;
+/** Keys that may vanish in one listing; more look like a service that lost its data. */
+const maxDeletedShare = 0.5;
+const maxDeletedKeys = 2;
+
+/** Reads and watches this instance's part of the configuration service, within the read budget. */
+export class PlatformReader implements DisposableLike {
+	private readonly _store = new DisposableStore();
+	private readonly _abort = new AbortController();
+	private readonly _watches = new Map<string, AbortController>();
+	private readonly _budget: ReadBudget;
+	private readonly _lateAt = new Map<string, number>();
+	private _tickTimer: NodeJS.Timeout | undefined;
+	private _settleTimer: NodeJS.Timeout | undefined;
+	private _auditAt: number;
+	private _auditIndex = 0;
+	private _failures = 0;
+	private _calls = 0;
+	private _listedAtIndex = 0;
+	private _isStarting = true;
+	private _lastReadAt: number | undefined;
+
+	constructor(private readonly _options: ReaderOptions) {
+		const now = _options.clock.now();
+		this._budget = new ReadBudget(_options.callsPerSecond, now);
+		this._auditAt = now + auditMs;
+		const settle = () => {
+			this._settleTimer ??= setTimeout(() => {
+				this._settleTimer = undefined;
+				this._updateWatches();
+			}, settleMs);
+		};
+
+		this._store.add(_options.members.onMembersChanged(settle));
+		this._store.add(_options.configuration.onAccepted(settle));
+		this._store.add(_options.configuration.onInstanceList(list => {
+			this._budget.setMaxInstances(list.maxInstances);
+		}));
+	}
+
+	/** Keys that this instance watches. */
+	get watchedKeys(): readonly string[] {
+		return [...this._watches.keys()];
+	}
+
+	/** Calls started since the start, watches included. */
+	get callCount(): number {
+		return this._calls;
+	}
+
+	/** The instance's part of the budget. */
+	get budget(): {readonly watchLimit: number; readonly callsPerSecond: number} {
+		return {watchLimit: this._budget.watchLimit, callsPerSecond: this._budget.callsPerSecond};
+	}
+
+	/** Time since the service last answered, in ms; undefined when it never did. */
+	get readAgeMs(): number | undefined {
+		return this._lastReadAt === undefined ? undefined : this._options.clock.now() - this._lastReadAt;
+	}
+
+	/** Reads the instance list, which tells who shares the work; resolves after the first attempt. */
+	async readInstances(): Promise<void> {
+		await this._waitForCall(this._abort.signal);
+		await this._readValue(instancesKey);
+	}
+
+	/** Reads the key listing and starts to watch; resolves once every listed key is held, or at the limit. */
+	async start(limitMs: number): Promise<void> {
+		await this._readListing();
+		this._updateWatches();
+		this._tickTimer = setInterval(() => {
+			void this._tick();
+		}, tickMs);
+		const endAt = this._options.clock.now() + limitMs;
+		while (this._options.configuration.listWanted().length > 0 && this._options.clock.now() < endAt && !this._abort.signal.aborted) {
+			await sleep(10);
+		}
+
+		this._isStarting = false;
+	}
+
+	dispose(): void {
+		this._abort.abort();
+		clearInterval(this._tickTimer);
+		clearTimeout(this._settleTimer);
+		this._store.dispose();
+		for (const watch of this._watches.values()) {
+			watch.abort();
+		}
+	}
+
+	/** Starts and stops watches so that this instance watches the keys of which it is a reader. */
+	private _updateWatches(): void {
+		if (this._abort.signal.aborted) {
+			return;
+		}
+
+		const mine = this._chooseKeys();
+		for (const [key, watch] of this._watches) {
+			if (!mine.has(key)) {
+				watch.abort();
+				this._watches.delete(key);
+			}
+		}
+
+		for (const key of mine) {
+			if (!this._watches.has(key)) {
+				const watch = new AbortController();
+				this._watches.set(key, watch);
+				void this._watch(key, watch.signal);
+			}
+		}
+	}
+
+	private _chooseKeys(): Set<string> {
+		const {configuration, members, readersPerKey} = this._options;
+		const live = members.listRecords().filter(({state}) => state === MemberState.Alive);
+		const readable = live.filter(({canRead}) => canRead);
+		const candidates = (readable.length > 0 ? readable : live).map(({instance}) => ({id: instance.id, failureDomain: instance.failureDomain}));
+		const listed = configuration.listWanted().map(({key}) => key);
+		const held = configuration.keys.filter(key => configuration.getNewest(key)?.text !== undefined);
+		const names = [listingName, instancesKey, ...new Set([...held, ...listed])];
+		const selfId = members.self.instance.id;
+		const mine = new Set<string>();
+		for (const name of names) {
+			if (mine.size < this._budget.watchLimit && chooseEntries(`reader:${name}`, candidates, readersPerKey).some(({id}) => id === selfId)) {
+				mine.add(name);
+			}
+		}
+
+		return mine;
+	}
+
+	private async _watch(key: string, signal: AbortSignal): Promise<void> {
+		let index = this._getStartIndex(key);
+		let retryMs = minRetryMs;
+		while (!signal.aborted) {
+			await this._waitForCall(signal);
+			if (signal.aborted) {
+				return;
+			}
+
+			const answered = key === listingName ? await this._watchListing(index, signal) : await this._watchValue(key, index, signal);
+			if (signal.aborted) {
+				return;
+			}
+
+			if (answered === undefined) {
+				await sleep(retryMs * (0.5 + this._options.random()));
+				retryMs = Math.min(maxRetryMs, retryMs * 2);
+				// The service may have lost its data; it then answers at once to an index that it does not know.
+				index = undefined;
+			} else {
+				retryMs = minRetryMs;
+				index = answered;
+			}
+		}
+	}
+
+	private _getStartIndex(key: string): number | undefined {
+		const index = key === listingName ? this._listedAtIndex : this._options.configuration.getNewest(key)?.revision;
+		return index === 0 ? undefined : index;
+	}
+
+	private async _watchValue(key: string, index: number | undefined, signal: AbortSignal): Promise<number | undefined> {
+		const value = await this._call(async () => this._options.platform.readValue(this._addPrefix(key), {index, waitMs: this._options.waitMs, signal}), signal);
+		if (value === undefined) {
+			return undefined;
+		}
+
+		this._acceptValue(key, value);
+		return value.watchIndex;
+	}
+
+	private async _watchListing(index: number | undefined, signal: AbortSignal): Promise<number | undefined> {
+		const listing = await this._call(async () => this._options.platform.listKeys(this._addPrefix(''), {index, waitMs: this._options.waitMs, signal}), signal);
+		if (listing === undefined) {
+			return undefined;
+		}
+
+		for (const key of this._acceptListing(listing)) {
+			if (this._budget.tryAcquire(this._options.clock.now())) {
+				await this._readValue(key);
+			}
+		}
+
+		return listing.watchIndex;
+	}
+
+	private async _readListing(): Promise<void> {
+		await this._waitForCall(this._abort.signal);
+		const {signal} = this._abort;
+		const listing = await this._call(async () => this._options.platform.listKeys(this._addPrefix(''), {signal}), signal);
+		if (listing !== undefined) {
+			this._acceptListing(listing);
+		}
+	}
+
+	/** Notes keys that are new or gone; returns the new ones. */
+	private _acceptListing(listing: {readonly keys: readonly string[]; readonly watchIndex: number}): string[] {
+		if (listing.watchIndex < this._listedAtIndex) {
+			return [];
+		}
+
+		this._listedAtIndex = listing.watchIndex;
+		const {configuration} = this._options;
+		const listed = listing.keys.map(key => key.slice(this._options.prefix.length + 1)).filter(key => key === instancesKey || key.includes('/'));
+		const fresh = listed.filter(key => {
+			const held = configuration.getNewest(key);
+			return held === undefined || (held.text === undefined && listing.watchIndex > held.revision);
+		});
+		for (const key of fresh) {
+			configuration.markWanted(key, (configuration.getNewest(key)?.revision ?? 0) + 1);
+		}
+
+		this._acceptDeletions(new Set(listed), listing.watchIndex);
+		return fresh;
+	}
+
+	private _acceptDeletions(listed: ReadonlySet<string>, index: number): void {
+		const {configuration, logger} = this._options;
+		const held = configuration.keys.filter(key => configuration.getNewest(key)?.text !== undefined);
+		const gone = held.filter(key => !listed.has(key) && (configuration.getNewest(key)?.revision ?? 0) < index);
+		if (gone.length > maxDeletedKeys && gone.length > held.length * maxDeletedShare) {
+			logger.logError('configuration-deletion-refused', {keys: gone.length, index});
+			return;
+		}
+
+		for (const key of gone) {
+			configuration.offerEntry({
+				key, revision: index, text: undefined, digest: computeDigest(''),
+			}, undefined);
+		}
+	}
+
+	private async _readValue(key: string): Promise<void> {
+		const {signal} = this._abort;
+		const value = await this._call(async () => this._options.platform.readValue(this._addPrefix(key), {signal}), signal);
+		if (value !== undefined) {
+			this._acceptValue(key, value);
+		}
+	}
+
+	private _acceptValue(key: string, value: PlatformValue): void {
+		if (value.text !== undefined) {
+			this._options.configuration.offerEntry({
+				key, revision: value.modifyIndex, text: value.text, digest: computeDigest(value.text),
+			}, undefined);
+		}
+	}
+
+	/** Makes one call and keeps account of whether the service can be read. */
+	private async _call<T>(call: () => Promise<Result<T, Error>>, signal: AbortSignal): Promise<T | undefined> {
+		this._calls++;
+		const result = await call();
+		if (signal.aborted) {
+			return undefined;
+		}
+
+		if (result.isOk()) {
+			this._failures = 0;
+			this._lastReadAt = this._options.clock.now();
+			this._options.members.markCanRead(true);
+			return result.value;
+		}
+
+		this._failures++;
+		if (this._failures === failureLimit) {
+			this._options.members.markCanRead(false);
+			this._options.logger.logError('platform-unreadable', {failures: this._failures});
+		}
+
+		return undefined;
+	}
+
+	private async _tick(): Promise<void> {
+		const now = this._options.clock.now();
+		const wanted = this._options.configuration.listWanted();
+		const wantedKeys = new Set(wanted.map(({key}) => key));
+		for (const key of this._lateAt.keys()) {
+			if (!wantedKeys.has(key)) {
+				this._lateAt.delete(key);
+			}
+		}
+
+		for (const {key, since} of wanted) {
+			const dueAt = this._lateAt.get(key) ?? this._chooseLateTime(key, since);
+			if (now >= dueAt && this._budget.tryAcquire(now)) {
+				this._lateAt.set(key, now + lateMs + (lateSpreadMs * this._options.random()));
+				await this._readValue(key);
+			}
+		}
+
+		if (now >= this._auditAt && this._budget.tryAcquire(now)) {
+			this._auditAt = now + (auditMs * (0.5 + this._options.random()));
+			await this._auditNext();
+		}
+	}
+
+	private _chooseLateTime(key: string, since: number): number {
+		const [delayMs, spreadMs] = this._isStarting ? [startLateMs, startLateSpreadMs] : [lateMs, lateSpreadMs];
+		const dueAt = since + delayMs + (spreadMs * this._options.random());
+		this._lateAt.set(key, dueAt);
+		return dueAt;
+	}
+
+	/** Reads one key after the other at long intervals, so that a reader that stands still is found out. */
+	private async _auditNext(): Promise<void> {
+		const {keys} = this._options.configuration;
+		const names = [...keys, listingName];
+		const name = names[this._auditIndex++ % names.length] ?? listingName;
+		await (name === listingName ? this._readListing() : this._readValue(name));
+	}
+
+	private async _waitForCall(signal: AbortSignal): Promise<void> {
+		while (!signal.aborted && !this._budget.tryAcquire(this._options.clock.now())) {
+			await sleep(tickMs * (0.5 + this._options.random()));
+		}
+	}
+
+	private _addPrefix(key: string): string {
+		return `${this._options.prefix}/${key}`;
+	}
+}
--- a/src/io/peer/create-peer-router.ts
+++ b/src/io/peer/create-peer-router.ts
@@ -1,3 +1,4 @@
+import {createFleetRouter} from './create-fleet-router.js';
 import {peerTrpc} from './peer-trpc.js';
 import type {PeerHandlers} from './peer-handlers.js';
 
@@ -5,4 +6,5 @@
 export const createPeerRouter = (handlers: PeerHandlers) => peerTrpc.router({
 	/** Says who answers here. */
 	hello: peerTrpc.procedure.query(() => handlers.describeSelf()),
+	fleet: createFleetRouter(handlers.fleet),
 });
--- a/src/io/peer/peer-client.ts
+++ b/src/io/peer/peer-client.ts
@@ -3,6 +3,7 @@
 } from '@trpc/client';
 import {WebSocket} from 'ws';
 import type {DisposableLike} from '../../common/disposable-like.js';
+import {Emitter} from '../../common/emitter.js';
 import type {PeerRouter} from './peer-router.js';
 
 type PeerAddress = {readonly host: string; readonly port: number};
@@ -14,6 +15,7 @@
 	/** The typed procedures of the peer. */
 	readonly api: TRPCClient<PeerRouter>;
 	private readonly _socket: ReturnType<typeof createWSClient>;
+	private readonly _onClosed = new Emitter<void>();
 
 	constructor(address: PeerAddress, callerId: string) {
 		this._socket = createWSClient({
@@ -25,11 +27,20 @@
 			lazy: {enabled: true, closeMs: 60_000},
 			retryDelayMs: attempt => Math.min(maxReconnectMs, 50 * (2 ** attempt)),
 			onError: () => undefined,
+			onClose: () => {
+				this._onClosed.fire();
+			},
 		});
 		this.api = createTRPCClient<PeerRouter>({links: [wsLink({client: this._socket})]});
 	}
 
+	/** Fires when the connection was closed, by either side or by a failure. */
+	get onClosed() {
+		return this._onClosed.event;
+	}
+
 	dispose(): void {
+		this._onClosed.dispose();
 		void this._socket.close();
 	}
 }
--- a/src/io/peer/peer-handlers.ts
+++ b/src/io/peer/peer-handlers.ts
@@ -1,7 +1,9 @@
 import type {Member} from '../../common/member.js';
+import type {FleetHandlers} from './fleet-handlers.js';
 
 /** What the controllers offer to peers; each controller adds its own part. */
 export type PeerHandlers = {
 	/** Answers who this instance is. */
 	readonly describeSelf: () => Member;
+	readonly fleet: FleetHandlers;
 };
--- /dev/null
+++ b/src/io/peer/ping-message.ts
@@ -0,0 +1,10 @@
+/** What two instances tell each other in a ping and its answer. */
+export type PingMessage = {
+	readonly id: string;
+	readonly incarnation: number;
+	readonly sequence: number;
+	/** Digest of the sender's view of the members. */
+	readonly members: number;
+	/** Digest of the sender's newest configuration revisions. */
+	readonly configuration: number;
+};
--- a/src/io/platform-client.ts
+++ b/src/io/platform-client.ts
@@ -25,17 +25,19 @@
 };
 
 const maxAnswerBytes = 4_194_304;
-const callTimeoutMs = 5000;
+const callTimeoutMs = 2000;
 
 /**
 Reads and watches the configuration service by blocking queries, as Consul publishes them for its key-value store
 (`GET /v1/kv/<key>?index=N&wait=Nms`, index in the header `X-Consul-Index`). It never writes.
 */
 export class PlatformClient implements DisposableLike {
-	private readonly _agent = new Agent({connections: 64, bodyTimeout: callTimeoutMs});
+	private readonly _agent = new Agent({connections: 512, bodyTimeout: callTimeoutMs});
 
-	/** @param _baseUrl - Base URL of the service. */
-	constructor(private readonly _baseUrl: string) {}
+	private _preferred = 0;
+
+	/** @param _baseUrls - Base URLs of the service; the next one is used after a failed call. */
+	constructor(private readonly _baseUrls: readonly string[]) {}
 
 	/** Reads one key, or waits for its next change. */
 	async readValue(key: string, options: WatchOptions = {}): Promise<Result<PlatformValue, Error>> {
@@ -59,7 +61,8 @@
 
 	private async _call<T>(path: string, options: WatchOptions, decode: (answer: unknown, watchIndex: number) => T): Promise<Result<T, Error>> {
 		const waitMs = options.index === undefined ? 0 : options.waitMs ?? 0;
-		const url = new URL(path, this._baseUrl);
+		const preferred = this._preferred;
+		const url = new URL(path, this._baseUrls[preferred]);
 		if (options.index !== undefined) {
 			url.searchParams.set('index', String(options.index));
 			url.searchParams.set('wait', `${waitMs}ms`);
@@ -71,6 +74,11 @@
 			const answer = await request(url, {dispatcher: this._agent, headersTimeout, signal: options.signal});
 			return ok(await this._decode(answer, decode));
 		} catch (error) {
+			// Many calls may fail at once; only the first moves on to the next URL.
+			if (this._preferred === preferred && options.signal?.aborted !== true) {
+				this._preferred = (preferred + 1) % this._baseUrls.length;
+			}
+
 			return err(error as Error);
 		}
 	}
--- a/src/policy/configuration/read-budget.ts
+++ b/src/policy/configuration/read-budget.ts
@@ -3,6 +3,7 @@
 const callShare = 0.25;
 /** Calls a second of a process that does not know yet with how many others it shares. */
 const startCallsPerSecond = 2;
+const startWatches = 1;
 
 /**
 One instance's part of the calls that all instances together may make to the configuration service. In any second an
@@ -20,7 +21,7 @@
 
 	/** Watches that this instance may keep open. */
 	get watchLimit(): number {
-		return this._maxInstances === undefined ? 0 : Math.floor(this._totalPerSecond * watchShare / this._maxInstances);
+		return this._maxInstances === undefined ? startWatches : Math.floor(this._totalPerSecond * watchShare / this._maxInstances);
 	}
 
 	/** Calls that this instance may start in any second. */
