--- a/src/bin/entry-daemon.ts
+++ b/src/bin/entry-daemon.ts
@@ -13,6 +13,7 @@
 import {MembershipController} from '../controllers/membership-controller.js';
 import {PeerController} from '../controllers/peer-controller.js';
 import {RouteController} from '../controllers/route-controller.js';
+import {ShutdownController} from '../controllers/shutdown-controller.js';
 import {AdmitFilter} from '../filters/admit-filter.js';
 import {AnswerFilter} from '../filters/answer-filter.js';
 import {ClassifyFilter} from '../filters/classify-filter.js';
@@ -21,6 +22,7 @@
 import {FilterChain} from '../filters/filter-chain.js';
 import {OutcomeFilter} from '../filters/outcome-filter.js';
 import {RetryFilter} from '../filters/retry-filter.js';
+import {ShutdownFilter} from '../filters/shutdown-filter.js';
 import {DebugLogger} from '../io/debug-logger.js';
 import {HttpListener} from '../io/http-listener.js';
 import {LoadClient} from '../io/load-client.js';
@@ -28,6 +30,9 @@
 import {systemClock} from '../io/system-clock.js';
 import {DataListener} from './data-listener.js';
 
+/** Time within which the peers' route answers no longer name an instance that is leaving, in ms. */
+const tellPeersMs = 1000;
+
 const createInstance = (settings: EntrySettings): Instance => ({
 	id: settings.instance.id,
 	host: settings.instance.host,
@@ -54,6 +59,7 @@
 	private readonly _configuration: ConfigurationController;
 	private readonly _fleet: FleetController;
 	private readonly _routes: RouteController;
+	private readonly _shutdown: ShutdownController;
 	private readonly _chain: FilterChain;
 	private readonly _dataListener: DataListener;
 	private readonly _routeListener: HttpListener;
@@ -76,6 +82,7 @@
 		this._routes = this._store.add(new RouteController({
 			..._settings.routes, catalog: this._configuration, members: this._members, clock: systemClock, isListStale: () => this._fleet.isListStale,
 		}));
+		this._shutdown = this._store.add(this._createShutdown());
 		this._chain = this._createChain();
 		this._dataListener = this._store.add(new DataListener({limits: _settings.limits, chain: this._chain, clock: systemClock}));
 		this._routeListener = this._store.add(new HttpListener({}, (request, response) => {
@@ -109,19 +116,47 @@
 		return this._fleet.describeStatus();
 	}
 
+	/** Begins a planned stop, or hastens one that has begun. */
+	handleSignal(): void {
+		this._shutdown.handleSignal();
+	}
+
+	/** Resolves at the end of a planned stop with the number of requests that it cut. */
+	async waitUntilStopped(): Promise<number> {
+		return this._shutdown.waitUntilEnded();
+	}
+
 	dispose(): void {
 		this._store.dispose();
 	}
 
+	private _createShutdown(): ShutdownController {
+		const {routes, shutdown} = this._settings;
+		return new ShutdownController({
+			announceLeaving: () => {
+				this._members.markLeaving();
+			},
+			closeIdle: () => {
+				const {server} = this._dataListener.listener;
+				server.close();
+				server.closeIdleConnections();
+			},
+			servingMs: routes.lifetimeMs + tellPeersMs,
+			limitMs: shutdown.limitMs,
+			logger: this._logger,
+		});
+	}
+
 	private _createChain(): FilterChain {
 		const {limits} = this._settings;
 		const connections = this._store.add(new ConnectionController({connectTimeoutMs: limits.connectTimeoutMs, clock: systemClock}));
 		const loadClient = this._store.add(new LoadClient());
 		const scheduler = this._store.add(createScheduler({
-			decisions: this._settings.decisions, clock: systemClock, random: Math.random, queryLoad: async (service, target) => loadClient.queryLoad(service, target),
+			decisions: this._settings.decisions, clock: systemClock, self: this._settings.instance, random: Math.random, queryLoad: async (service, target) => loadClient.queryLoad(service, target),
 		}));
 		const getConnectionLimit = (service: ServiceSpec) => Math.max(1, Math.floor(service.connectionsPerTarget / this._members.maxInstances));
 		return new FilterChain([
+			new ShutdownFilter(this._shutdown),
 			new AnswerFilter(),
 			new OutcomeFilter(),
 			new ClassifyFilter(this._configuration),
--- a/src/controllers/fleet-controller.ts
+++ b/src/controllers/fleet-controller.ts
@@ -78,7 +78,7 @@
 	/** Learns members and configuration from peers and the service, and takes the newest of each. */
 	async start(): Promise<void> {
 		await this._reader.readInstances();
-		await this._gossip.join(',');
+		await this._gossip.connectPeers();
 		await this._exchange.loadFromPeers();
 		this._gossip.start();
 		await this._reader.start(startLimitMs);
--- a/src/controllers/gossip-controller.ts
+++ b/src/controllers/gossip-controller.ts
@@ -72,7 +72,7 @@
 	}
 
 	/** Speaks with some peers for the first time; resolves once one answered or none can be reached. */
-	async join(): Promise<void> {
+	async connectPeers(): Promise<void> {
 		for (let attempt = 0; attempt < joinAttempts; attempt++) {
 			const results = await Promise.all(this._createJoinClients().map(async client => this._reconcileOnce(client, joinTimeoutMs)));
 			if (results.includes(true) || results.length === 0) {
@@ -212,7 +212,7 @@
 	private _compareAnswer(client: PeerClient, id: string, answer: PingMessage): void {
 		const record = this._options.members.getRecord(id);
 		const before = this._differing.get(id) ?? {members: 0, configuration: 0};
-		const isNewLife = record === undefined || record.incarnation !== answer.incarnation || record.state === MemberState.Dead;
+		const isNewLife = record?.incarnation !== answer.incarnation || record.state === MemberState.Dead;
 		const members = answer.members === this._options.members.digest ? 0 : before.members + 1;
 		const configuration = answer.configuration === this._options.getConfigurationDigest() ? 0 : before.configuration + 1;
 		this._differing.set(id, {members, configuration});
