Test the fleet with real processes; advertise mapped ports

Cause: an instance told its peers its listeners' ports, which a port mapping (or a proxy in tests) hides.

--- a/src/common/entry-settings-schema.ts
+++ b/src/common/entry-settings-schema.ts
@@ -18,6 +18,10 @@
 		host: z.string().min(1).default('127.0.0.1'),
 		failureDomain: z.string().min(1).max(128),
 		region: z.string().min(1).max(128).default('default'),
+		/** Ports under which others reach the listeners, where a port mapping makes them differ. */
+		ports: z.strictObject({
+			data: port.optional(), route: port.optional(), peer: port.optional(), operator: port.optional(),
+		}).prefault({}),
 	}),
 	listeners: z.strictObject({
 		data: listener(7100),
--- a/tools/site/site.ts
+++ b/tools/site/site.ts
@@ -97,17 +97,24 @@
 	}
 
 	/** Starts the process of an instance; after an earlier one has ended this replaces it. */
-	async startEntry(instance: Instance): Promise<EntryProcess> {
+	async startEntry(instance: Instance, settings: SiteOptions['settings'] = {}): Promise<EntryProcess> {
 		const ports = this._ports.get(instance.id) ?? instance;
 		const entry = this._store.add(new EntryProcess({
 			instance: {
-				id: instance.id, host: instance.host, failureDomain: instance.failureDomain, region: instance.region,
+				id: instance.id,
+				host: instance.host,
+				failureDomain: instance.failureDomain,
+				region: instance.region,
+				ports: {
+					data: instance.dataPort, route: instance.routePort, peer: instance.peerPort, operator: instance.operatorPort,
+				},
 			},
 			listeners: {
 				data: {port: ports.dataPort}, route: {port: ports.routePort}, peer: {port: ports.peerPort}, operator: {port: ports.operatorPort},
 			},
 			platform: {urls: [...this.platform.urls]},
 			...this._options.settings,
+			...settings,
 		}));
 		this.entries.push(entry);
 		await entry.start();
