--- /dev/null
+++ b/src/bin/create-observers.ts
@@ -0,0 +1,25 @@
+import type {DisposableStore} from '../common/disposable-store.js';
+import type {EntrySettings} from '../common/entry-settings.js';
+import type {Metrics} from '../common/metrics.js';
+import type {Filter} from '../filters/filter.js';
+import {MeasureFilter} from '../filters/measure-filter.js';
+import {TraceFilter} from '../filters/trace-filter.js';
+import {OtlpTracer} from '../io/otlp-tracer.js';
+import {systemClock} from '../io/system-clock.js';
+
+/** Creates the filters that only watch; what is switched off is left out of the chain. */
+export const createObservers = (settings: EntrySettings, metrics: Metrics, store: DisposableStore): Filter[] => {
+	const {tracing, instance} = settings;
+	const observers: Filter[] = [];
+	if (settings.metrics.enabled) {
+		observers.push(new MeasureFilter(metrics, systemClock));
+	}
+
+	if (tracing.enabled) {
+		observers.push(new TraceFilter(store.add(new OtlpTracer({
+			url: tracing.url, sampleRatio: tracing.sampleRatio, instanceId: instance.id, failureDomain: instance.failureDomain,
+		}))));
+	}
+
+	return observers;
+};
--- a/src/io/peer/create-peer-router.ts
+++ b/src/io/peer/create-peer-router.ts
@@ -1,4 +1,5 @@
 import {createFleetRouter} from './create-fleet-router.js';
+import {createLoadRouter} from './load-router.js';
 import {peerTrpc} from './peer-trpc.js';
 import type {PeerHandlers} from './peer-handlers.js';
 
@@ -7,4 +8,5 @@
 	/** Says who answers here. */
 	hello: peerTrpc.procedure.query(() => handlers.describeSelf()),
 	fleet: createFleetRouter(handlers.fleet),
+	load: createLoadRouter(handlers.load),
 });
