Show a small site by npm start, with progress, a summary and curl lines

Cause: a newcomer should see whole answers through real entries by two commands. Conclusion: the demo exits 0 where every request had an answer, an honest unknown included.

--- a/tools/demo/rattansill-demo.ts
+++ b/tools/demo/rattansill-demo.ts
@@ -1,30 +1,74 @@
 #!/usr/bin/env node
 import process from 'node:process';
-import {request} from 'undici';
-import type {RouteAnswer} from '../../src/common/route-answer.js';
+import {Command, Option} from 'clipanion';
+import * as t from 'typanion';
+import {runProgram} from '../../src/bin/run-program.js';
+import {DisposableStore} from '../../src/common/disposable-store.js';
+import {ExitCode} from '../../src/common/exit-code.js';
+import {formatTable} from '../load/report/format-table.js';
 import {SiteName} from '../site/site-name.js';
 import {Site} from '../site/site.js';
+import {runDemoLoad} from './run-demo-load.js';
+import {summarizeSamples} from './summarize-samples.js';
 
-const requestCount = 200;
-
-const site = new Site({
-	site: SiteName.Wigroom, entryCount: 2, targetsPerService: 2, serviceTimeMs: () => 5,
-});
-await site.start();
-const routePort = site.instances[0]?.routePort ?? 0;
-for (const service of site.services) {
-	const asked = await request(`http://127.0.0.1:${routePort}/routes/${service}`);
-	const route = await asked.body.json() as RouteAnswer;
-	const address = route.addresses[0];
-	let whole = 0;
-	for (let index = 0; index < requestCount / site.services.length; index++) {
-		const answer = await request(`http://${address?.host}:${address?.port}/styles/${index}`, {headers: {host: service}});
-		await answer.body.text();
-		whole += answer.statusCode === 200 ? 1 : 0;
+const entryCount = 4;
+const targetsPerService = 3;
+
+class DemoCommand extends Command {
+	static override paths = [Command.Default];
+	static override usage = Command.Usage({
+		description: 'Starts a small site on loopback, sends mixed requests through real entry instances and prints a summary',
+		details: 'Exit codes: 0 when every request had an answer of its own, 1 when one had none.',
+		examples: [['The other site', '$0 --site urdaneta'], ['Leave it up', '$0 --keep']],
+	});
+
+	readonly site = Option.String('--site', SiteName.Wigroom, {description: 'wigroom or urdaneta', validator: t.isEnum(SiteName)});
+	readonly keep = Option.Boolean('--keep', false, {description: 'Leave the site up until it is interrupted'});
+
+	override async execute(): Promise<number> {
+		const store = new DisposableStore();
+		try {
+			return await this._run(store);
+		} finally {
+			store.dispose();
+		}
 	}
 
-	process.stdout.write(`${service}: ${whole} whole answers\n`);
+	private async _run(store: DisposableStore): Promise<number> {
+		const {stdout} = this.context;
+		const site = store.add(new Site({
+			site: this.site, entryCount, targetsPerService,
+		}));
+		stdout.write(`starting the ${this.site} site: ${entryCount} entry instances, ${site.services.length} services of ${targetsPerService} targets\n`);
+		await site.start();
+		const samples = await runDemoLoad(site, line => {
+			stdout.write(process.stdout.isTTY ? `\r${line}` : `${line}\n`);
+		});
+		const rows = summarizeSamples(samples);
+		stdout.write(`${process.stdout.isTTY ? '\n' : ''}\n${formatTable(rows)}`);
+		if (this.keep) {
+			await this._waitForInterrupt(site);
+		}
+
+		await Promise.all(site.entries.map(async entry => entry.stop()));
+		return rows.every(row => row['no answer'] === 0) ? ExitCode.Success : ExitCode.Failure;
+	}
+
+	private async _waitForInterrupt(site: Site): Promise<void> {
+		const [instance] = site.instances;
+		const [service = ''] = site.services;
+		this.context.stdout.write([
+			'',
+			'The site stays up until Ctrl+C. Try:',
+			`  curl http://127.0.0.1:${instance?.routePort}/routes/${service}`,
+			`  curl -H 'Host: ${service}' http://127.0.0.1:${instance?.dataPort}/items/1`,
+			`  curl http://127.0.0.1:${instance?.operatorPort}/`,
+			'',
+		].join('\n'));
+		await new Promise<void>(resolve => {
+			process.once('SIGINT', resolve).once('SIGTERM', resolve);
+		});
+	}
 }
 
-await Promise.all(site.entries.map(async entry => entry.stop()));
-site.dispose();
+await runProgram('rattansill-demo', [DemoCommand]);
--- a/tools/load/callers/load-runner.ts
+++ b/tools/load/callers/load-runner.ts
@@ -1,5 +1,7 @@
 import {performance} from 'node:perf_hooks';
 import {Agent, type Dispatcher} from 'undici';
+import type {DisposableLike} from '../../../src/common/disposable-like.js';
+import {Emitter} from '../../../src/common/emitter.js';
 import {HeaderName} from '../../../src/common/header-names.js';
 import {Outcome} from '../../../src/common/outcome.js';
 import type {Arrival} from './arrival.js';
@@ -34,9 +36,15 @@
 };
 
 /** Carries out a load: sends each request at its time whatever has become of those before it. */
-export class LoadRunner {
+export class LoadRunner implements DisposableLike {
 	private readonly _agent = new Agent({pipelining: 1, keepAliveTimeout: 30_000});
 	private readonly _routes = new Map<string, RouteCache>();
+	private readonly _onSample = new Emitter<CallSample>();
+
+	/** Fires when a request has ended. */
+	get onSample() {
+		return this._onSample.event;
+	}
 
 	/** Runs a load to its end; resolves with one sample a request once all have ended. */
 	async run(plan: LoadPlan): Promise<readonly CallSample[]> {
@@ -44,6 +52,11 @@
 		return plan.concurrency > 0 ? this._runClosed(plan, arrivals) : this._runOpen(plan, arrivals);
 	}
 
+	dispose(): void {
+		this._onSample.dispose();
+		void this._agent.destroy();
+	}
+
 	private async _runClosed(plan: LoadPlan, arrivals: readonly Arrival[]): Promise<readonly CallSample[]> {
 		const startedAt = performance.now();
 		const samples: CallSample[] = [];
@@ -95,6 +108,12 @@
 	}
 
 	private async _call(plan: LoadPlan, arrival: Arrival, index: number, startedAt: number): Promise<CallSample> {
+		const sample = await this._callOnce(plan, arrival, index, startedAt);
+		this._onSample.fire(sample);
+		return sample;
+	}
+
+	private async _callOnce(plan: LoadPlan, arrival: Arrival, index: number, startedAt: number): Promise<CallSample> {
 		const requestId = `${plan.name}-${plan.service}-${index}`;
 		const sample = {
 			service: plan.service, requestId, kind: arrival.kind, atMs: arrival.atMs,
