--- a/src/common/entry-settings-schema.ts
+++ b/src/common/entry-settings-schema.ts
@@ -3,6 +3,7 @@
 
 const isLoopback = (host: string) => host === 'localhost' || host === '::1' || /^127(?:\.\d{1,3}){3}$/v.test(host);
 const port = z.int().min(0).max(65_535);
+const outerPort = port.optional().describe('Port under which others reach the listener; its own when absent.');
 const listener = (defaultPort: number) => z.strictObject({
 	host: z.string().min(1).default('127.0.0.1').describe('IP number to listen on.'),
 	port: port.default(defaultPort).describe('TCP port; 0 lets the system choose one.'),
@@ -20,6 +21,9 @@
 		host: z.string().min(1).default('127.0.0.1').describe('IP number under which callers and peers reach this instance.'),
 		failureDomain: z.string().min(1).max(128).describe('Failure domain in which this instance runs.'),
 		region: z.string().min(1).max(128).default('default').describe('Region in which this instance runs.'),
+		ports: z.strictObject({
+			data: outerPort, route: outerPort, peer: outerPort, operator: outerPort,
+		}).prefault({}).describe('Ports under which others reach the listeners, where a port mapping makes them differ.'),
 	}),
 	listeners: z.strictObject({
 		data: listener(7100),
@@ -47,7 +51,15 @@
 		urls: z.array(z.url({protocol: /^https?$/v})).min(1).describe('Base URLs of the configuration service, in order of preference.'),
 		prefix: z.string().min(1).default('rattansill').describe('Key prefix below which the operators publish.'),
 		waitMs: z.int().min(100).max(600_000).default(30_000).describe('Longest time for which one watch waits, in ms.'),
+		callsPerSecond: z.int().min(1).max(1_000_000).default(2000).describe('Calls a second that all entry instances together may make, a waiting watch counted as one.'),
+		readersPerKey: z.int().min(1).max(16).default(2).describe('Instances that watch each key and pass it on.'),
 	}),
+	peers: z.strictObject({
+		seeds: z.array(z.strictObject({
+			host: z.string().min(1).describe('IP number of a peer.'),
+			port: port.describe('Its peer port.'),
+		})).max(64).default([]).describe('Peer ports to ask when the instance list cannot be read.'),
+	}).prefault({}),
 	limits: z.strictObject({
 		headerBytes: z.int().min(1024).max(1_048_576).default(16_384).describe('Request headers, in bytes.'),
 		bodyBytes: z.int().min(0).max(1_073_741_824).default(16_777_216).describe('Request body, in bytes.'),
