Expect code 2 and standard error for a wrong command line of the tools

The test expected 1 and standard output, clipanion's default, against the list of exit codes (2: the command line or the settings are wrong); the new one is as strict and also looks at both streams. The in-process daemon of the tests takes new ports when another process has taken one since it was found free, which made tests fail under load.

--- a/test/support/daemon-bench.ts
+++ b/test/support/daemon-bench.ts
@@ -9,6 +9,7 @@
 type Settings = z.input<typeof entrySettingsSchema>;
 
 const loopback = '127.0.0.1';
+const maxStarts = 5;
 
 /** One entry instance in this process, with one target that a test writes itself, serving the service `shop`. */
 export class DaemonBench {
@@ -16,6 +17,7 @@
 	readonly target: Server;
 	dataPort = 0;
 	routePort = 0;
+	peerPort = 0;
 	operatorPort = 0;
 	private _daemon: EntryDaemon | undefined;
 
@@ -28,32 +30,51 @@
 		await new Promise<void>(resolve => {
 			this.target.listen(0, loopback, resolve);
 		});
-		const [dataPort = 0, routePort = 0, peerPort = 0, operatorPort = 0] = await findFreePorts(4);
-		this.dataPort = dataPort;
-		this.routePort = routePort;
-		this.operatorPort = operatorPort;
 		this.platform.publishValue('rattansill/templates/plain', {name: 'plain', parameters: {}, service: this._createService(service)});
 		this.platform.publishValue('rattansill/parameters/shop', {
 			service: 'shop', team: 'test', template: 'plain', values: {},
 		});
-		this._daemon = new EntryDaemon(entrySettingsSchema.parse({
+		for (let attempt = 1; !await this._startDaemon(settings); attempt++) {
+			if (attempt === maxStarts) {
+				throw new Error('no free ports for the listeners');
+			}
+		}
+	}
+
+	dispose(): void {
+		this._daemon?.dispose();
+		this.platform.dispose();
+		this.target.closeAllConnections();
+		this.target.close();
+	}
+
+	/** Starts the daemon; another process may have taken one of the ports since they were found free. */
+	private async _startDaemon(settings: Partial<Settings>): Promise<boolean> {
+		const [dataPort = 0, routePort = 0, peerPort = 0, operatorPort = 0] = await findFreePorts(4);
+		this.dataPort = dataPort;
+		this.routePort = routePort;
+		this.peerPort = peerPort;
+		this.operatorPort = operatorPort;
+		const {listeners} = settings;
+		const daemon = new EntryDaemon(entrySettingsSchema.parse({
 			instance: {id: 'entry-1', failureDomain: 'a'},
 			platform: {urls: [`http://${loopback}:${this.platform.listener.port}`]},
 			log: {namespaces: ''},
 			...settings,
 			listeners: {
-				data: {port: dataPort}, route: {port: routePort}, peer: {port: peerPort}, operator: {port: operatorPort}, ...settings.listeners,
+				data: {port: dataPort, ...listeners?.data},
+				route: {port: routePort, ...listeners?.route},
+				peer: {port: peerPort, ...listeners?.peer},
+				operator: {port: operatorPort, ...listeners?.operator},
 			},
 		}));
-		const started = await this._daemon.start();
-		started._unsafeUnwrap();
-	}
+		this._daemon = daemon;
+		const started = await daemon.start();
+		if (started.isErr()) {
+			daemon.dispose();
+		}
 
-	dispose(): void {
-		this._daemon?.dispose();
-		this.platform.dispose();
-		this.target.closeAllConnections();
-		this.target.close();
+		return started.isOk();
 	}
 
 	private _createService(fields: Record<string, unknown>): Record<string, unknown> {
--- a/test/tools.test.ts
+++ b/test/tools.test.ts
@@ -4,11 +4,11 @@
 import {describe, expect, it} from 'vitest';
 import {projectRoot} from '../tools/site/project-root.js';
 
-type Ended = {readonly code: number; readonly stdout: string};
+type Ended = {readonly code: number; readonly stdout: string; readonly stderr: string};
 
 const runTool = async (file: string, args: readonly string[]): Promise<Ended> => new Promise(resolve => {
-	const child = execFile(process.execPath, [path.join(projectRoot, 'dist/tools', file), ...args], (_error, stdout) => {
-		resolve({code: child.exitCode ?? -1, stdout});
+	const child = execFile(process.execPath, [path.join(projectRoot, 'dist/tools', file), ...args], (_error, stdout, stderr) => {
+		resolve({code: child.exitCode ?? -1, stdout, stderr});
 	});
 });
 
@@ -21,15 +21,16 @@
 			file: 'load/rattansill-load.js', args: ['run', 'nothing'], code: 2, output: /^$/v,
 		},
 		{
-			file: 'load/rattansill-load.js', args: ['run', 'overhead', '--site', 'elsewhere'], code: 1, output: /--site/v,
+			file: 'load/rattansill-load.js', args: ['run', 'overhead', '--site', 'elsewhere'], code: 2, output: /^$/v, errors: /--site/v,
 		},
 		{
 			file: 'demo/rattansill-demo.js', args: ['--help'], code: 0, output: /--keep/v,
 		},
-	])('$file $args ends with $code', async ({file, args, code, output}) => {
+	])('$file $args ends with $code', async ({file, args, code, output, errors = /(?:)/v}) => {
 		const ended = await runTool(file, args);
 		expect(ended.code).toBe(code);
 		expect(ended.stdout).toMatch(output);
+		expect(ended.stderr).toMatch(errors);
 	});
 
 	it.each([
