Keep connections within published shares and leave silent ones

Cause: a share was at least one connection, so more instances than the limit passed it; before a list was read one instance took the whole limit; a discarded body was kept in memory; a refusal cost its connection.

--- a/src/bin/entry-daemon.ts
+++ b/src/bin/entry-daemon.ts
@@ -28,6 +28,7 @@
 import {PeerServer} from '../io/peer/peer-server.js';
 import {PlatformClient} from '../io/platform-client.js';
 import {systemClock} from '../io/system-clock.js';
+import {computeConnectionShare} from '../policy/compute-connection-share.js';
 import {DataListener} from './data-listener.js';
 
 /** Time within which the peers' route answers no longer name an instance that is leaving, in ms. */
@@ -171,7 +172,7 @@
 		const scheduler = this._store.add(createScheduler({
 			decisions: this._settings.decisions, clock: systemClock, self: this._settings.instance, random: Math.random, queryLoad: async (service, target) => loadClient.queryLoad(service, target),
 		}));
-		const getConnectionLimit = (service: ServiceSpec) => Math.max(1, Math.floor(service.connectionsPerTarget / this._members.maxInstances));
+		const getConnectionLimit = (service: ServiceSpec) => computeConnectionShare(service.connectionsPerTarget, this._members.maxInstances);
 		return new FilterChain([
 			new ShutdownFilter(this._shutdown),
 			new AnswerFilter(),
--- a/src/controllers/connection-controller.ts
+++ b/src/controllers/connection-controller.ts
@@ -12,8 +12,8 @@
 	openCount: number;
 	/** Share of this instance as of the last demand. */
 	limit: number;
-	/** Idle connections without a proof of life since this time are not used. */
-	distrustedBefore: number;
+	/** Idle connections without a proof of life after this time are not used. */
+	distrustedUntil: number;
 };
 
 type ConnectionDemand = {
@@ -146,10 +146,10 @@
 	}
 
 	private _takeIdle(pool: TargetPool, demand: ConnectionDemand): TargetConnection | undefined {
-		const oldestProofAt = Math.max(pool.distrustedBefore, this._options.clock.now() - demand.maxProofAgeMs);
+		const oldestProofAt = this._options.clock.now() - demand.maxProofAgeMs;
 		for (let index = pool.idle.length - 1; index >= 0; index--) {
 			const connection = pool.idle[index];
-			if (connection !== undefined && !connection.isClosed && connection.lastProofAt >= oldestProofAt) {
+			if (connection !== undefined && !connection.isClosed && connection.lastProofAt >= oldestProofAt && connection.lastProofAt > pool.distrustedUntil) {
 				pool.idle.splice(index, 1);
 				return connection;
 			}
@@ -164,8 +164,8 @@
 	}
 
 	private _dropUnproved(pool: TargetPool, since: number): void {
-		pool.distrustedBefore = Math.max(pool.distrustedBefore, since);
-		for (const connection of pool.idle.filter(item => item.lastProofAt < since)) {
+		pool.distrustedUntil = Math.max(pool.distrustedUntil, since);
+		for (const connection of pool.idle.filter(item => item.lastProofAt <= since)) {
 			connection.dispose();
 		}
 	}
@@ -225,7 +225,7 @@
 		let pool = this._pools.get(key);
 		if (pool === undefined) {
 			pool = {
-				idle: [], openCount: 0, limit: 0, distrustedBefore: Number.NEGATIVE_INFINITY,
+				idle: [], openCount: 0, limit: 0, distrustedUntil: Number.NEGATIVE_INFINITY,
 			};
 			this._pools.set(key, pool);
 		}
--- a/src/controllers/membership-controller.ts
+++ b/src/controllers/membership-controller.ts
@@ -9,13 +9,16 @@
 /** Time for which a notice of leaving holds against a list that lags, in ms. */
 const leavingMemoryMs = 30_000;
 
+/** Upper bound of instances that is assumed until a list was read. */
+const unlistedMaxInstances = 64;
+
 /** Keeps what this instance believes of the entry instances. */
 export class MembershipController implements MemberDirectory, DisposableLike {
 	private readonly _members = new Map<string, Member>();
 	private readonly _leaving = new Map<string, NodeJS.Timeout>();
 	private readonly _onMembersChanged = new Emitter<readonly Member[]>();
 	private _self: Member;
-	private _maxInstances = 1;
+	private _maxInstances = unlistedMaxInstances;
 
 	constructor(self: Instance, incarnation: number) {
 		this._self = {instance: self, incarnation, state: MemberState.Alive};
--- a/src/filters/dispatch-filter.ts
+++ b/src/filters/dispatch-filter.ts
@@ -102,8 +102,14 @@
 		const answer = result.value;
 		record.apply(TryInput.AnswerStarted);
 		if (this._isProvenRefusal(service, answer)) {
+			answer.body.onSettled(isWhole => {
+				this._endUse(connection, isWhole);
+			});
 			answer.body.discard();
-			connection.dispose();
+			if (answer.body.isWhole) {
+				this._endUse(connection, true);
+			}
+
 			record.apply(TryInput.Refused);
 			context.excludedTargets.push(target.id);
 			lease.release(ExchangeEnd.Refused);
@@ -119,12 +125,7 @@
 
 		const settle = (isWhole: boolean) => {
 			record.apply(isWhole ? TryInput.AnswerWhole : TryInput.Lost);
-			if (isWhole) {
-				this._options.connections.releaseConnection(connection);
-			} else {
-				connection.dispose();
-			}
-
+			this._endUse(connection, isWhole);
 			lease.release(isWhole ? ExchangeEnd.Answered : ExchangeEnd.Lost);
 		};
 
@@ -137,6 +138,14 @@
 		return ok(answer);
 	}
 
+	private _endUse(connection: TargetConnection, isWhole: boolean): void {
+		if (isWhole) {
+			this._options.connections.releaseConnection(connection);
+		} else {
+			connection.dispose();
+		}
+	}
+
 	private _computeSilenceLimit(context: RequestContext): number {
 		return Math.max(minSilenceMs, (context.deadlineAt - this._options.clock.now()) / silenceDivisor);
 	}
--- a/src/io/answer-body.ts
+++ b/src/io/answer-body.ts
@@ -16,10 +16,21 @@
 
 /** The body of a target's answer as it arrives, with back-pressure towards the target. */
 export class AnswerBody {
+	/** Creates a body that has already arrived. */
+	static createWhole(bytes: Uint8Array): AnswerBody {
+		const body = new AnswerBody({pause() {}, resume() {}, abort() {}}); // eslint-disable-line @typescript-eslint/no-empty-function
+		body.push(bytes);
+		body.end();
+		return body;
+	}
+
 	private readonly _held: Uint8Array[] = [];
 	private _heldBytes = 0;
 	private _sink: Writable | undefined;
 	private _isEnded = false;
+	private _isDiscarded = false;
+	private _captured: Uint8Array[] | undefined;
+	private _captureLeft = 0;
 	private _error: Error | undefined;
 	private readonly _onSettled = new Emitter<boolean>();
 	private _settle: ((result: Result<void, Error>) => void) | undefined;
@@ -36,8 +47,27 @@
 		return this._isEnded;
 	}
 
+	/** The bytes asked for by `capture`; undefined when there were more. */
+	get captured(): Uint8Array | undefined {
+		return this._captured === undefined ? undefined : Buffer.concat(this._captured);
+	}
+
+	/** Keeps a copy of the body, unless it has more bytes than the limit. */
+	capture(limitBytes: number): void {
+		this._captured = [];
+		this._captureLeft = limitBytes;
+		for (const chunk of this._held) {
+			this._captureChunk(chunk);
+		}
+	}
+
 	/** Takes a chunk from the connection. */
 	push(chunk: Uint8Array): void {
+		if (this._isDiscarded) {
+			return;
+		}
+
+		this._captureChunk(chunk);
 		if (this._sink !== undefined) {
 			this._write(this._sink, chunk);
 			return;
@@ -96,11 +126,20 @@
 
 	/** Reads the rest of the body and drops it. */
 	discard(): void {
+		this._isDiscarded = true;
 		this._held.length = 0;
-		this._heldBytes = Number.NEGATIVE_INFINITY;
 		this._flow.resume();
 	}
 
+	private _captureChunk(chunk: Uint8Array): void {
+		this._captureLeft -= chunk.length;
+		if (this._captureLeft < 0) {
+			this._captured = undefined;
+		}
+
+		this._captured?.push(chunk);
+	}
+
 	private _write(sink: Writable, chunk: Uint8Array): void {
 		if (!sink.write(chunk)) {
 			this._flow.pause();
