Run the request of an idempotency key once across the fleet

Cause: a resend was a new request, so a lost answer could lead to a second run. Change: a first try is claimed at two owners of its key (rendezvous hash over the live entries) before dispatch; resends are joined in flight, replayed where the answer was small, told as ran otherwise; a marked resend whose key is not remembered runs only if both owners vouch that they would know it, else it is answered unknown. Ruled out: one owner only (its death would forget the key), entry sets of route answers as owners (their hysteresis makes views differ), eviction (a forgotten key could run twice), wall-clock times of first tries (clocks differ). Before: no memory of keys.

--- a/src/bin/entry-daemon.ts
+++ b/src/bin/entry-daemon.ts
@@ -9,6 +9,7 @@
 import {ConfigurationController} from '../controllers/configuration-controller.js';
 import {ConnectionController} from '../controllers/connection-controller.js';
 import {createScheduler} from '../controllers/create-scheduler.js';
+import {KeyController} from '../controllers/key-controller.js';
 import {MembershipController} from '../controllers/membership-controller.js';
 import {PeerController} from '../controllers/peer-controller.js';
 import {RouteController} from '../controllers/route-controller.js';
@@ -19,6 +20,7 @@
 import {DeadlineFilter} from '../filters/deadline-filter.js';
 import {DispatchFilter} from '../filters/dispatch-filter.js';
 import {FilterChain} from '../filters/filter-chain.js';
+import {IdempotencyFilter} from '../filters/idempotency-filter.js';
 import {OutcomeFilter} from '../filters/outcome-filter.js';
 import {RetryFilter} from '../filters/retry-filter.js';
 import {ShutdownFilter} from '../filters/shutdown-filter.js';
@@ -62,6 +64,7 @@
 	private readonly _shutdown: ShutdownController;
 	private readonly _chain: FilterChain;
 	private readonly _peers: PeerController;
+	private readonly _keys: KeyController;
 	private readonly _dataListener: DataListener;
 	private readonly _routeListener: HttpListener;
 	private readonly _operatorListener: HttpListener;
@@ -76,8 +79,10 @@
 		}));
 		this._store.add(this._configuration.onInstanceList(list => {
 			this._members.acceptInstanceList(list);
+			this._keys.updateListed(new Set(list.instances.map(instance => instance.id)));
 		}));
 		this._peers = this._store.add(new PeerController(this._members));
+		this._keys = this._store.add(new KeyController({members: this._members, getPeer: id => this._peers.getClient(id), clock: systemClock}));
 		this._routes = this._store.add(new RouteController({
 			..._settings.routes, catalog: this._configuration, members: this._members, clock: systemClock, isListStale: () => false,
 		}));
@@ -95,6 +100,11 @@
 			acceptLeaving: (instanceId, incarnation) => {
 				this._members.acceptLeaving(instanceId, incarnation);
 			},
+			acceptKeyClaim: claim => this._keys.acceptClaim(claim),
+			acceptKeySettlement: settlement => {
+				this._keys.acceptSettlement(settlement);
+			},
+			waitForKey: async (service, key, waitMs) => this._keys.waitForKey(service, key, waitMs),
 		}));
 	}
 
@@ -179,6 +189,7 @@
 			new OutcomeFilter(),
 			new ClassifyFilter(this._configuration),
 			new DeadlineFilter(systemClock),
+			new IdempotencyFilter({keys: this._keys, clock: systemClock}),
 			new RetryFilter(),
 			new AdmitFilter(scheduler),
 			new DispatchFilter({connections, clock: systemClock, getConnectionLimit}),
--- a/src/common/error-answers.ts
+++ b/src/common/error-answers.ts
@@ -67,6 +67,12 @@
 	[ErrorKind.KeyUnvouched]: {
 		status: 409, title: 'The outcome of the first request with this idempotency key is not known', outcome: Outcome.Unknown, retryAfterSeconds: undefined,
 	},
+	[ErrorKind.KeyAnswered]: {
+		status: 409, title: 'The first request with this idempotency key ran; its answer is no longer held', outcome: Outcome.Ran, retryAfterSeconds: undefined,
+	},
+	[ErrorKind.KeyOwnersUnreachable]: {
+		status: 503, title: 'No instance that remembers this idempotency key can be reached', outcome: Outcome.NotRun, retryAfterSeconds: 1,
+	},
 	[ErrorKind.CallerGone]: {
 		status: 499, title: 'The caller closed the connection', outcome: Outcome.Unknown, retryAfterSeconds: undefined,
 	},
--- a/src/common/error-kind.ts
+++ b/src/common/error-kind.ts
@@ -21,6 +21,8 @@
 	BodyInterrupted = 'body-interrupted',
 	KeyConflict = 'key-conflict',
 	KeyUnvouched = 'key-unvouched',
+	KeyAnswered = 'key-answered',
+	KeyOwnersUnreachable = 'key-owners-unreachable',
 	CallerGone = 'caller-gone',
 	ShuttingDown = 'shutting-down',
 	InternalQueued = 'internal-queued',
--- a/src/common/header-names.ts
+++ b/src/common/header-names.ts
@@ -6,6 +6,10 @@
 	Outcome = 'rattansill-outcome',
 	/** Key by which a caller marks resends of one request. */
 	IdempotencyKey = 'idempotency-key',
+	/** Marks a resend: time since the caller first sent the request, in ms. */
+	FirstSentAgo = 'rattansill-first-sent-ms-ago',
+	/** Says that an answer is the one of an earlier try. */
+	Replayed = 'rattansill-replayed',
 	/** W3C trace context. */
 	TraceParent = 'traceparent',
 	/** Load report that rides on an answer, in the text format of ORCA. */
--- /dev/null
+++ b/src/common/key-settlement.ts
@@ -0,0 +1,11 @@
+import type {KeyAnswer} from './key-answer.js';
+import type {Outcome} from './outcome.js';
+
+/** Tells how the request of a claim ended. */
+export type KeySettlement = {
+	readonly service: string;
+	readonly key: string;
+	readonly claimId: string;
+	readonly outcome: Outcome;
+	readonly answer: KeyAnswer | undefined;
+};
--- /dev/null
+++ b/src/controllers/key-controller.ts
@@ -0,0 +1,248 @@
+import {randomUUID} from 'node:crypto';
+import type {Clock} from '../common/clock.js';
+import type {DisposableLike} from '../common/disposable-like.js';
+import {DisposableStore} from '../common/disposable-store.js';
+import {Emitter} from '../common/emitter.js';
+import type {KeyAnswer} from '../common/key-answer.js';
+import type {KeyClaim} from '../common/key-claim.js';
+import type {KeyReport} from '../common/key-report.js';
+import type {KeySettlement} from '../common/key-settlement.js';
+import type {KeyVerdict} from '../common/key-verdict.js';
+import type {MemberDirectory} from '../common/member-directory.js';
+import {MemberState} from '../common/member-state.js';
+import type {Member} from '../common/member.js';
+import {Outcome} from '../common/outcome.js';
+import type {PeerClient} from '../io/peer/peer-client.js';
+import {chooseKeyOwners} from '../policy/choose-key-owners.js';
+import {KeyMemory} from '../policy/key-memory.js';
+import {VouchingView} from '../policy/vouching-view.js';
+
+type KeyDemand = Omit<KeyClaim, 'claimId' | 'holder'>;
+
+/** A claim that was granted, with the owners that were asked. */
+type GrantedClaim = {readonly claim: KeyClaim; readonly owners: readonly string[]};
+
+type ClaimResult =
+	| {readonly kind: 'granted'; readonly granted: GrantedClaim}
+	| {readonly kind: 'unreachable'}
+	| Exclude<KeyVerdict, {kind: 'granted'}>;
+
+type KeyControllerOptions = {
+	readonly members: MemberDirectory;
+	readonly getPeer: (instanceId: string) => PeerClient | undefined;
+	readonly clock: Clock;
+};
+
+const ownerCount = 2;
+const peerTimeoutMs = 300;
+const joinCallMs = 500;
+/** Time within which all instances learn of a change of membership, in ms. */
+const convergenceMs = 5000;
+const limits = {keys: 100_000, answerBytes: 33_554_432};
+
+/** Remembers idempotency keys together with the other instances, so that the request of a key runs once. */
+export class KeyController implements DisposableLike {
+	private readonly _memory = new KeyMemory(limits);
+	private readonly _view: VouchingView;
+	private readonly _onSettled = new Emitter<KeyReport>();
+	private readonly _pending = new Map<string, Promise<ClaimResult>>();
+	private readonly _store = new DisposableStore();
+
+	constructor(private readonly _options: KeyControllerOptions) {
+		const {members, clock} = _options;
+		this._view = new VouchingView({convergenceMs}, clock.now());
+		this._updateMembers(members.listMembers());
+		this._store.add(members.onMembersChanged(changed => {
+			this._updateMembers(changed);
+		}));
+		this._store.add(this._onSettled);
+	}
+
+	/** Keys remembered now. */
+	get size(): number {
+		return this._memory.size;
+	}
+
+	/** Asks this instance and the owners of a key for leave to run its request. */
+	async claimKey(demand: KeyDemand): Promise<ClaimResult> {
+		const id = `${demand.service}\n${demand.key}`;
+		for (let pending = this._pending.get(id); pending !== undefined; pending = this._pending.get(id)) {
+			await pending;
+		}
+
+		const claim: KeyClaim = {...demand, claimId: randomUUID(), holder: this._options.members.self.instance.id};
+		const asking = this._askAll(claim);
+		this._pending.set(id, asking);
+		try {
+			return await asking;
+		} finally {
+			this._pending.delete(id);
+		}
+	}
+
+	/** Tells everybody who was asked how the request of a claim ended. */
+	settleClaim({claim, owners}: GrantedClaim, outcome: Outcome, answer?: KeyAnswer): void {
+		const {service, key, claimId} = claim;
+		const settlement: KeySettlement = {
+			service, key, claimId, outcome, answer,
+		};
+		this.acceptSettlement(settlement);
+		this._onSettled.fire({
+			claimId, holder: claim.holder, outcome, answer,
+		});
+		for (const owner of owners) {
+			void this._tellOwner(owner, settlement);
+		}
+	}
+
+	/** Decides on a claim of a peer, or of this instance as an owner. */
+	acceptClaim(claim: KeyClaim): KeyVerdict {
+		const now = this._options.clock.now();
+		const canVouch = claim.firstSentAgoMs !== undefined && this._view.canVouch(claim.firstSentAgoMs, claim.memoryMs, now);
+		return this._memory.acceptClaim(claim, canVouch, now);
+	}
+
+	acceptSettlement(settlement: KeySettlement): void {
+		this._memory.acceptSettlement(settlement);
+	}
+
+	/** Waits until the request of a key that this instance holds has ended; undefined when the key is not remembered. */
+	async waitForKey(service: string, key: string, waitMs: number): Promise<KeyReport | undefined> {
+		const report = this._memory.getReport(service, key, this._options.clock.now());
+		if (report === undefined || report.outcome !== undefined) {
+			return report;
+		}
+
+		return new Promise(resolve => {
+			const end = (result: KeyReport) => {
+				clearTimeout(timer);
+				subscription.dispose();
+				resolve(result);
+			};
+
+			const timer = setTimeout(() => {
+				end(report);
+			}, waitMs);
+			const subscription = this._onSettled.event(settled => {
+				if (settled.claimId === report.claimId) {
+					end(settled);
+				}
+			});
+		});
+	}
+
+	/** Waits at the holder of a known key; undefined when the holder cannot say. */
+	async joinKey(report: KeyReport, service: string, key: string, waitMs: number): Promise<KeyReport | undefined> {
+		if (report.outcome !== undefined) {
+			return report;
+		}
+
+		if (report.holder === this._options.members.self.instance.id) {
+			return this.waitForKey(service, key, waitMs);
+		}
+
+		return this._waitAtPeer(report, service, key, waitMs);
+	}
+
+	/** Takes the names of the platform's instance list. */
+	updateListed(ids: ReadonlySet<string>): void {
+		this._view.updateListed(ids);
+	}
+
+	/** Stops vouching for keys of before now, after a time in which this process did not run. */
+	distrustView(): void {
+		this._view.distrust(this._options.clock.now());
+	}
+
+	dispose(): void {
+		this._store.dispose();
+	}
+
+	private async _askAll(claim: KeyClaim): Promise<ClaimResult> {
+		const owners = chooseKeyOwners(this._listAlive().map(member => member.instance.id), claim.service, claim.key, ownerCount);
+		const isOwner = owners.includes(claim.holder);
+		const order = isOwner ? owners : [claim.holder, ...owners];
+		const asked: string[] = [];
+		let grants = 0;
+		for (const id of order) {
+			asked.push(id);
+			const verdict = await this._askOne(id, claim, isOwner);
+			if (verdict === undefined && claim.firstSentAgoMs !== undefined) {
+				this.settleClaim({claim, owners: asked}, Outcome.NotRun);
+				return {kind: 'unvouched'};
+			}
+
+			if (verdict !== undefined && verdict.kind !== 'granted') {
+				this.settleClaim({claim, owners: asked}, Outcome.NotRun);
+				return verdict;
+			}
+
+			grants += verdict !== undefined && owners.includes(id) ? 1 : 0;
+		}
+
+		if (grants === 0) {
+			this.settleClaim({claim, owners: asked}, Outcome.NotRun);
+			return {kind: 'unreachable'};
+		}
+
+		return {kind: 'granted', granted: {claim, owners: asked}};
+	}
+
+	/** The verdict of one instance; undefined when it cannot be reached. */
+	private async _askOne(id: string, claim: KeyClaim, isOwner: boolean): Promise<KeyVerdict | undefined> {
+		if (id === claim.holder) {
+			// An instance that only holds the request is not asked whether an unknown key was granted before.
+			return isOwner ? this.acceptClaim(claim) : this._memory.acceptClaim(claim, true, this._options.clock.now());
+		}
+
+		try {
+			const verdict = await this._options.getPeer(id)?.api.keys.claim.mutate(claim, {signal: AbortSignal.timeout(peerTimeoutMs)});
+			return verdict as KeyVerdict | undefined;
+		} catch {
+			return undefined;
+		}
+	}
+
+	/** Waits in short calls, so that the death of the holder is noticed early. */
+	private async _waitAtPeer(report: KeyReport, service: string, key: string, waitMs: number): Promise<KeyReport | undefined> {
+		const {clock, getPeer} = this._options;
+		const endAt = clock.now() + waitMs;
+		let known: KeyReport | undefined = report;
+		while (known !== undefined && known.outcome === undefined && clock.now() < endAt) {
+			known = await this._askHolder(getPeer(report.holder), {service, key, waitMs: Math.min(joinCallMs, endAt - clock.now())});
+		}
+
+		return known;
+	}
+
+	private async _askHolder(peer: PeerClient | undefined, question: {service: string; key: string; waitMs: number}): Promise<KeyReport | undefined> {
+		try {
+			const told = await peer?.api.keys.wait.query(question, {signal: AbortSignal.timeout(question.waitMs + peerTimeoutMs)});
+			return told === undefined
+				? undefined
+				: {
+					claimId: told.claimId, holder: told.holder, outcome: told.outcome, answer: told.answer,
+				};
+		} catch {
+			return undefined;
+		}
+	}
+
+	private async _tellOwner(id: string, settlement: KeySettlement): Promise<void> {
+		try {
+			await this._options.getPeer(id)?.api.keys.settle.mutate(settlement, {signal: AbortSignal.timeout(peerTimeoutMs)});
+		} catch {
+			// An owner that does not learn the end asks this instance when the key is sent again.
+		}
+	}
+
+	private _listAlive(): readonly Member[] {
+		return this._options.members.listMembers().filter(member => member.state === MemberState.Alive);
+	}
+
+	private _updateMembers(members: readonly Member[]): void {
+		const alive = new Map(members.filter(member => member.state === MemberState.Alive).map(member => [member.instance.id, member.incarnation]));
+		const leaving = new Set(members.filter(member => member.state === MemberState.Leaving).map(member => member.instance.id));
+		this._view.updateMembers(alive, leaving, this._options.clock.now());
+	}
+}
--- /dev/null
+++ b/src/filters/idempotency-filter.ts
@@ -0,0 +1,162 @@
+import {Buffer} from 'node:buffer';
+import {createHash} from 'node:crypto';
+import {err, ok} from 'neverthrow';
+import type {Clock} from '../common/clock.js';
+import {ErrorKind} from '../common/error-kind.js';
+import {HeaderName} from '../common/header-names.js';
+import type {KeyAnswer} from '../common/key-answer.js';
+import type {KeyReport} from '../common/key-report.js';
+import {Outcome} from '../common/outcome.js';
+import {RequestError} from '../common/request-error.js';
+import type {ServiceSpec} from '../common/service-spec.js';
+import type {KeyController} from '../controllers/key-controller.js';
+import {AnswerBody} from '../io/answer-body.js';
+import type {TargetAnswer} from '../io/target-answer.js';
+import {parseKeyHeaders} from '../policy/parse-key-headers.js';
+import type {FilterResult} from './filter-result.js';
+import type {Filter} from './filter.js';
+import type {NextFilter} from './next-filter.js';
+import type {RequestContext} from './request-context.js';
+import {stripHopHeaders} from './strip-hop-headers.js';
+
+type IdempotencyFilterOptions = {
+	readonly keys: KeyController;
+	readonly clock: Clock;
+};
+
+type GrantedClaim = Parameters<KeyController['settleClaim']>[0];
+
+/** Answers up to this size are kept for resends, in bytes. */
+const maxKeptBytes = 4096;
+
+const getHeader = (context: RequestContext, name: HeaderName): string | undefined => {
+	const value = context.request.headers[name];
+	return Array.isArray(value) ? value.join(', ') : value;
+};
+
+const createFingerprint = ({request}: RequestContext): string => createHash('sha256')
+	.update(`${request.method}\n${request.url}\n${request.headers['content-length'] ?? ''}\n${request.headers['content-type'] ?? ''}`)
+	.digest('base64');
+
+const encodeAnswer = (answer: TargetAnswer): KeyAnswer | undefined => {
+	const {captured} = answer.body;
+	return captured === undefined ? undefined : {status: answer.status, rawHeaders: stripHopHeaders(answer.rawHeaders), body: Buffer.from(captured).toString('base64')};
+};
+
+const decodeAnswer = (answer: KeyAnswer): TargetAnswer => ({
+	status: answer.status,
+	rawHeaders: [...answer.rawHeaders, HeaderName.Replayed, 'true'],
+	body: AnswerBody.createWhole(Buffer.from(answer.body, 'base64')),
+});
+
+/** Runs the request of an idempotency key once, and answers its resends from memory. */
+export class IdempotencyFilter implements Filter {
+	constructor(private readonly _options: IdempotencyFilterOptions) {}
+
+	get name(): string {
+		return 'idempotency';
+	}
+
+	async handleRequest(context: RequestContext, next: NextFilter): FilterResult {
+		const {service, rule} = context;
+		const header = getHeader(context, HeaderName.IdempotencyKey);
+		if (service === undefined || rule === undefined || rule.idempotent || header === undefined) {
+			return next(context);
+		}
+
+		const parsed = parseKeyHeaders(header, getHeader(context, HeaderName.FirstSentAgo));
+		if (parsed.isErr()) {
+			return err(new RequestError(ErrorKind.MalformedRequest, parsed.error));
+		}
+
+		return this._claim(context, next, {service, ...parsed.value});
+	}
+
+	private async _claim(context: RequestContext, next: NextFilter, {service, key, firstSentAgoMs}: {service: ServiceSpec; key: string; firstSentAgoMs: number | undefined}): FilterResult {
+		const result = await this._options.keys.claimKey({
+			service: service.name, key, fingerprint: createFingerprint(context), firstSentAgoMs, memoryMs: service.keyMemoryMs,
+		});
+		switch (result.kind) {
+			case 'granted': {
+				return this._run(context, next, result.granted);
+			}
+
+			case 'known': {
+				return this._join(context, result.report, key);
+			}
+
+			case 'conflict': {
+				return err(new RequestError(ErrorKind.KeyConflict, 'another method, path, length or type of body was sent with this key'));
+			}
+
+			case 'unvouched': {
+				return err(new RequestError(ErrorKind.KeyUnvouched, 'the first try may have been taken by an instance that cannot be asked'));
+			}
+
+			case 'full': {
+				return err(this._refuse(ErrorKind.QueueFull, firstSentAgoMs, 'no more idempotency keys can be remembered'));
+			}
+
+			case 'unreachable': {
+				return err(this._refuse(ErrorKind.KeyOwnersUnreachable, firstSentAgoMs, 'no owner of the key answered'));
+			}
+		}
+	}
+
+	/** A refused resend says nothing of the first try. */
+	private _refuse(kind: ErrorKind, firstSentAgoMs: number | undefined, detail: string): RequestError {
+		return new RequestError(firstSentAgoMs === undefined ? kind : ErrorKind.KeyUnvouched, detail);
+	}
+
+	private async _run(context: RequestContext, next: NextFilter, granted: GrantedClaim): FilterResult {
+		const {keys} = this._options;
+		let result: Awaited<FilterResult>;
+		try {
+			result = await next(context);
+		} catch (error) {
+			keys.settleClaim(granted, context.ledger.outcome);
+			throw error;
+		}
+
+		if (result.isErr()) {
+			keys.settleClaim(granted, context.ledger.outcome);
+			return result;
+		}
+
+		const answer = result.value;
+		const settle = (isWhole: boolean) => {
+			keys.settleClaim(granted, isWhole ? Outcome.Ran : Outcome.Unknown, isWhole ? encodeAnswer(answer) : undefined);
+		};
+
+		answer.body.capture(maxKeptBytes);
+		if (answer.body.isWhole) {
+			settle(true);
+		} else {
+			answer.body.onSettled(settle);
+		}
+
+		return result;
+	}
+
+	/** Waits for the first try, wherever it runs; a wait that ends early leaves its outcome unknown. */
+	private async _join(context: RequestContext, known: KeyReport, key: string): FilterResult {
+		const waitMs = Math.max(0, Math.floor(context.deadlineAt - this._options.clock.now()));
+		const report = await this._options.keys.joinKey(known, context.service?.name ?? '', key, waitMs);
+		switch (report?.outcome) {
+			case Outcome.Ran: {
+				return report.answer === undefined
+					? err(new RequestError(ErrorKind.KeyAnswered, 'the answer was too large to be kept'))
+					: ok(decodeAnswer(report.answer));
+			}
+
+			case Outcome.NotRun: {
+				return err(new RequestError(ErrorKind.TargetRefused, 'the first request with this key was not run'));
+			}
+
+			case Outcome.Unknown:
+			case undefined: {
+				return err(new RequestError(ErrorKind.KeyUnvouched, 'the end of the first request with this key is not known'));
+			}
+		}
+	}
+}
--- a/src/io/peer/create-peer-router.ts
+++ b/src/io/peer/create-peer-router.ts
@@ -1,3 +1,4 @@
+import {createKeysRouter} from './keys-router.js';
 import {createLeaveRouter} from './leave-router.js';
 import {peerTrpc} from './peer-trpc.js';
 import type {PeerHandlers} from './peer-handlers.js';
@@ -6,5 +7,6 @@
 export const createPeerRouter = (handlers: PeerHandlers) => peerTrpc.router({
 	/** Says who answers here. */
 	hello: peerTrpc.procedure.query(() => handlers.describeSelf()),
+	keys: createKeysRouter(handlers),
 	leave: createLeaveRouter(handlers),
 });
--- /dev/null
+++ b/src/io/peer/keys-router.ts
@@ -0,0 +1,36 @@
+import {z} from 'zod';
+import {Outcome} from '../../common/outcome.js';
+import type {PeerHandlers} from './peer-handlers.js';
+import {peerTrpc} from './peer-trpc.js';
+
+const name = z.string().min(1).max(128);
+const keyFields = {service: name, key: z.string().min(1).max(255)};
+const claimSchema = z.strictObject({
+	...keyFields,
+	fingerprint: z.string().max(128),
+	claimId: name,
+	holder: name,
+	firstSentAgoMs: z.number().min(0).optional(),
+	memoryMs: z.number().min(1).max(86_400_000),
+});
+const answerSchema = z.strictObject({
+	status: z.int().min(200).max(599),
+	rawHeaders: z.array(z.string().max(16_384)).max(512).readonly(),
+	body: z.base64().max(16_384),
+});
+const settlementSchema = z.strictObject({
+	...keyFields, claimId: name, outcome: z.enum(Outcome), answer: answerSchema.optional(),
+});
+const waitSchema = z.strictObject({...keyFields, waitMs: z.number().min(0).max(3_600_000)});
+
+/** Builds the procedures by which instances remember idempotency keys for each other. */
+export const createKeysRouter = (handlers: PeerHandlers) => peerTrpc.router({
+	/** Asks an owner of a key for leave to run its request. */
+	claim: peerTrpc.procedure.input(claimSchema).mutation(({input}) => handlers.acceptKeyClaim({...input, firstSentAgoMs: input.firstSentAgoMs})),
+	/** Tells an owner how the request ended. */
+	settle: peerTrpc.procedure.input(settlementSchema).mutation(({input}) => {
+		handlers.acceptKeySettlement({...input, answer: input.answer});
+	}),
+	/** Waits at the holder of a key until its request has ended. */
+	wait: peerTrpc.procedure.input(waitSchema).query(async ({input}) => handlers.waitForKey(input.service, input.key, input.waitMs)),
+});
--- a/src/io/peer/peer-handlers.ts
+++ b/src/io/peer/peer-handlers.ts
@@ -1,3 +1,7 @@
+import type {KeyClaim} from '../../common/key-claim.js';
+import type {KeyReport} from '../../common/key-report.js';
+import type {KeySettlement} from '../../common/key-settlement.js';
+import type {KeyVerdict} from '../../common/key-verdict.js';
 import type {Member} from '../../common/member.js';
 
 /** What the controllers offer to peers; each controller adds its own part. */
@@ -6,4 +10,10 @@
 	readonly describeSelf: () => Member;
 	/** Takes the notice of an instance that leaves. */
 	readonly acceptLeaving: (instanceId: string, incarnation: number) => void;
+	/** Decides on a claim of an idempotency key. */
+	readonly acceptKeyClaim: (claim: KeyClaim) => KeyVerdict;
+	/** Takes the end of a claim. */
+	readonly acceptKeySettlement: (settlement: KeySettlement) => void;
+	/** Waits until the request of a key has ended; undefined when it did not run or is not remembered. */
+	readonly waitForKey: (service: string, key: string, waitMs: number) => Promise<KeyReport | undefined>;
 };
--- /dev/null
+++ b/src/policy/choose-key-owners.ts
@@ -0,0 +1,8 @@
+import {computeHash} from './compute-hash.js';
+
+/** Chooses the instances that remember a key by rendezvous hashing, first the one that decides. */
+export const chooseKeyOwners = (instanceIds: readonly string[], service: string, key: string, count: number): string[] => {
+	const ranked = instanceIds.map(id => ({id, weight: computeHash(`${service}\n${key}\n${id}`)}));
+	ranked.sort((first, second) => second.weight - first.weight || (first.id < second.id ? -1 : 1));
+	return ranked.slice(0, count).map(item => item.id);
+};
--- a/test/support/caller.ts
+++ b/test/support/caller.ts
@@ -12,6 +12,8 @@
 type SendOptions = {
 	readonly method?: 'GET' | 'POST';
 	readonly headers?: Readonly<Record<string, string>>;
+	/** Path; one of the request's own when undefined. */
+	readonly path?: string;
 	/** Entry to use, as host and port; the one of the route answer when undefined. */
 	readonly entry?: string;
 };
@@ -35,10 +37,10 @@
 	constructor(private readonly _options: CallerOptions) {}
 
 	/** Sends one request and records what came of it. */
-	async send({method = 'GET', headers = {}, entry}: SendOptions = {}): Promise<Told> {
+	async send({method = 'GET', headers = {}, entry, path}: SendOptions = {}): Promise<Told> {
 		const requestId = randomUUID();
 		const address = entry ?? await this._chooseEntry();
-		const told = await this._exchange({requestId, method, entry: address}, headers);
+		const told = await this._exchange({requestId, method, entry: address}, path ?? `/bookings/${requestId}`, headers);
 		this.told.push(told);
 		return told;
 	}
@@ -47,9 +49,9 @@
 		await this._agent.destroy();
 	}
 
-	private async _exchange(base: {requestId: string; method: 'GET' | 'POST'; entry: string}, headers: Readonly<Record<string, string>>): Promise<Told> {
+	private async _exchange(base: {requestId: string; method: 'GET' | 'POST'; entry: string}, path: string, headers: Readonly<Record<string, string>>): Promise<Told> {
 		try {
-			const answer = await request(`http://${base.entry}/bookings/${base.requestId}`, {
+			const answer = await request(`http://${base.entry}${path}`, {
 				method: base.method,
 				headers: {host: this._options.service, 'x-request-id': base.requestId, ...headers},
 				body: base.method === 'POST' ? 'headpiece=12' : undefined,
