--- a/src/bin/entry-daemon.ts
+++ b/src/bin/entry-daemon.ts
@@ -5,10 +5,11 @@
 import type {DisposableLike} from '../common/disposable-like.js';
 import type {EntrySettings} from '../common/entry-settings.js';
 import type {Instance} from '../common/instance.js';
+import type {Metrics} from '../common/metrics.js';
 import type {ServiceSpec} from '../common/service-spec.js';
 import {ConfigurationController} from '../controllers/configuration-controller.js';
 import {ConnectionController} from '../controllers/connection-controller.js';
-import {createScheduler} from '../controllers/create-scheduler.js';
+import {createDecisions} from '../controllers/create-decisions.js';
 import {KeyController} from '../controllers/key-controller.js';
 import {MembershipController} from '../controllers/membership-controller.js';
 import {PeerController} from '../controllers/peer-controller.js';
@@ -21,8 +22,12 @@
 import {DispatchFilter} from '../filters/dispatch-filter.js';
 import {FilterChain} from '../filters/filter-chain.js';
 import {IdempotencyFilter} from '../filters/idempotency-filter.js';
+import {TraceTryFilter} from '../filters/trace-try-filter.js';
 import {OutcomeFilter} from '../filters/outcome-filter.js';
 import {RetryFilter} from '../filters/retry-filter.js';
+import {disabledMetrics} from '../io/disabled-metrics.js';
+import {ProcessMetrics} from '../io/process-metrics.js';
+import {StatsdMetrics} from '../io/statsd-metrics.js';
 import {ShutdownFilter} from '../filters/shutdown-filter.js';
 import {DebugLogger} from '../io/debug-logger.js';
 import {HttpListener} from '../io/http-listener.js';
@@ -31,6 +36,7 @@
 import {PlatformClient} from '../io/platform-client.js';
 import {systemClock} from '../io/system-clock.js';
 import {computeConnectionShare} from '../policy/compute-connection-share.js';
+import {createObservers} from './create-observers.js';
 import {DataListener} from './data-listener.js';
 
 /** Time within which the peers' route answers no longer name an instance that is leaving, in ms. */
@@ -58,10 +64,12 @@
 export class EntryDaemon implements DisposableLike {
 	private readonly _store = new DisposableStore();
 	private readonly _logger: DebugLogger;
+	private readonly _metrics: Metrics;
 	private readonly _members: MembershipController;
 	private readonly _configuration: ConfigurationController;
 	private readonly _routes: RouteController;
 	private readonly _shutdown: ShutdownController;
+	private readonly _decisions: ReturnType<typeof createDecisions>;
 	private readonly _chain: FilterChain;
 	private readonly _peers: PeerController;
 	private readonly _keys: KeyController;
@@ -72,6 +80,7 @@
 
 	constructor(private readonly _settings: EntrySettings) {
 		this._logger = new DebugLogger(_settings.instance.id, 'entry');
+		this._metrics = _settings.metrics.enabled ? this._store.add(new StatsdMetrics({..._settings.metrics, instanceId: _settings.instance.id})) : disabledMetrics;
 		this._members = this._store.add(new MembershipController(createInstance(_settings), Date.now()));
 		const platform = this._store.add(new PlatformClient(_settings.platform.urls[0] ?? ''));
 		this._configuration = this._store.add(new ConfigurationController({
@@ -87,8 +96,17 @@
 			..._settings.routes, catalog: this._configuration, members: this._members, clock: systemClock, isListStale: () => false,
 		}));
 		this._shutdown = this._store.add(this._createShutdown());
+		this._decisions = this._createDecisions();
 		this._chain = this._createChain();
 		this._dataListener = this._store.add(new DataListener({limits: _settings.limits, chain: this._chain, clock: systemClock}));
+		if (_settings.metrics.enabled) {
+			this._store.add(new ProcessMetrics(this._metrics, report => {
+				this._dataListener.listener.server.getConnections((_error, count) => {
+					report(count ?? 0);
+				});
+			}));
+		}
+
 		this._routeListener = this._store.add(new HttpListener({}, (request, response) => {
 			this._answerRoute(request, response);
 		}));
@@ -97,6 +115,7 @@
 		}));
 		this._peerServer = this._store.add(new PeerServer({
 			describeSelf: () => this._members.self,
+			load: this._decisions.load,
 			acceptLeaving: (instanceId, incarnation) => {
 				this._members.acceptLeaving(instanceId, incarnation);
 			},
@@ -175,15 +194,27 @@
 		await Promise.allSettled(peers.map(async peer => peer.api.leave.announce.mutate({instanceId: instance.id, incarnation})));
 	}
 
+	private _createDecisions(): ReturnType<typeof createDecisions> {
+		const loadClient = this._store.add(new LoadClient());
+		return createDecisions({
+			decisions: this._settings.decisions,
+			catalog: this._configuration,
+			routes: this._routes,
+			members: this._members,
+			peers: this._peers,
+			queryLoad: async (service, target) => loadClient.queryLoad(service, target),
+			clock: systemClock,
+			random: Math.random,
+			store: this._store,
+		});
+	}
+
 	private _createChain(): FilterChain {
 		const {limits} = this._settings;
 		const connections = this._store.add(new ConnectionController({connectTimeoutMs: limits.connectTimeoutMs, clock: systemClock}));
-		const loadClient = this._store.add(new LoadClient());
-		const scheduler = this._store.add(createScheduler({
-			decisions: this._settings.decisions, clock: systemClock, self: this._settings.instance, random: Math.random, queryLoad: async (service, target) => loadClient.queryLoad(service, target),
-		}));
 		const getConnectionLimit = (service: ServiceSpec) => computeConnectionShare(service.connectionsPerTarget, this._members.maxInstances);
 		return new FilterChain([
+			...createObservers(this._settings, this._metrics, this._store),
 			new ShutdownFilter(this._shutdown),
 			new AnswerFilter(),
 			new OutcomeFilter(),
@@ -191,7 +222,8 @@
 			new DeadlineFilter(systemClock),
 			new IdempotencyFilter({keys: this._keys, clock: systemClock}),
 			new RetryFilter(),
-			new AdmitFilter(scheduler),
+			new AdmitFilter(this._decisions.scheduler),
+			...(this._settings.tracing.enabled ? [new TraceTryFilter()] : []),
 			new DispatchFilter({connections, clock: systemClock, getConnectionLimit}),
 		]);
 	}
--- a/src/filters/dispatch-filter.ts
+++ b/src/filters/dispatch-filter.ts
@@ -12,6 +12,7 @@
 import type {TargetAnswer} from '../io/target-answer.js';
 import type {TargetConnection} from '../io/target-connection.js';
 import {hasStatedEnd} from '../policy/has-stated-end.js';
+import {parseLoadReport} from '../policy/schedule/parse-load-report.js';
 import {TryInput} from '../policy/try-input.js';
 import type {TryRecord} from '../policy/try-record.js';
 import type {FilterResult} from './filter-result.js';
@@ -101,6 +102,7 @@
 
 		const answer = result.value;
 		record.apply(TryInput.AnswerStarted);
+		const report = parseLoadReport(answer.rawHeaders, service.drainHeader);
 		if (this._isProvenRefusal(service, answer)) {
 			answer.body.onSettled(isWhole => {
 				this._endUse(connection, isWhole);
@@ -112,7 +114,7 @@
 
 			record.apply(TryInput.Refused);
 			context.excludedTargets.push(target.id);
-			lease.release(ExchangeEnd.Refused);
+			lease.release(ExchangeEnd.Refused, report);
 			return err(new RequestError(ErrorKind.TargetRefused, `target ${target.id} answered ${answer.status} as not run`));
 		}
 
@@ -126,7 +128,7 @@
 		const settle = (isWhole: boolean) => {
 			record.apply(isWhole ? TryInput.AnswerWhole : TryInput.Lost);
 			this._endUse(connection, isWhole);
-			lease.release(isWhole ? ExchangeEnd.Answered : ExchangeEnd.Lost);
+			lease.release(isWhole ? (answer.status >= 500 ? ExchangeEnd.Failed : ExchangeEnd.Answered) : ExchangeEnd.Lost, report);
 		};
 
 		if (answer.body.isWhole) {
@@ -152,8 +154,9 @@
 
 	private _createHeaders(context: RequestContext): string[] {
 		const remainingMs = Math.max(1, Math.floor(context.deadlineAt - this._options.clock.now()));
-		const headers = stripHopHeaders(context.request.rawHeaders, [HeaderName.Timeout]);
-		headers.push(HeaderName.Timeout, String(remainingMs));
+		const omitted = context.span === undefined ? [HeaderName.Timeout] : [HeaderName.Timeout, HeaderName.TraceParent, HeaderName.TraceState];
+		const headers = stripHopHeaders(context.request.rawHeaders, omitted);
+		headers.push(HeaderName.Timeout, String(remainingMs), ...(context.span?.headers ?? []));
 		return headers;
 	}
 
