--- a/src/io/peer/create-peer-router.ts
+++ b/src/io/peer/create-peer-router.ts
@@ -1,6 +1,6 @@
 import {createKeysRouter} from './keys-router.js';
+import {createFleetRouter} from './create-fleet-router.js';
 import {createLoadRouter} from './load-router.js';
-import {createLeaveRouter} from './leave-router.js';
 import {peerTrpc} from './peer-trpc.js';
 import type {PeerHandlers} from './peer-handlers.js';
 
@@ -8,7 +8,7 @@
 export const createPeerRouter = (handlers: PeerHandlers) => peerTrpc.router({
 	/** Says who answers here. */
 	hello: peerTrpc.procedure.query(() => handlers.describeSelf()),
-	keys: createKeysRouter(handlers),
+	keys: createKeysRouter(handlers.keys),
+	fleet: createFleetRouter(handlers.fleet),
 	load: createLoadRouter(handlers.load),
-	leave: createLeaveRouter(handlers),
 });
--- a/src/io/peer/keys-router.ts
+++ b/src/io/peer/keys-router.ts
@@ -1,6 +1,6 @@
 import {z} from 'zod';
 import {Outcome} from '../../common/outcome.js';
-import type {PeerHandlers} from './peer-handlers.js';
+import type {KeyHandlers} from './key-handlers.js';
 import {peerTrpc} from './peer-trpc.js';
 
 const name = z.string().min(1).max(128);
@@ -24,12 +24,12 @@
 const waitSchema = z.strictObject({...keyFields, waitMs: z.number().min(0).max(3_600_000)});
 
 /** Builds the procedures by which instances remember idempotency keys for each other. */
-export const createKeysRouter = (handlers: PeerHandlers) => peerTrpc.router({
+export const createKeysRouter = (handlers: KeyHandlers) => peerTrpc.router({
 	/** Asks an owner of a key for leave to run its request. */
-	claim: peerTrpc.procedure.input(claimSchema).mutation(({input}) => handlers.acceptKeyClaim({...input, firstSentAgoMs: input.firstSentAgoMs})),
+	claim: peerTrpc.procedure.input(claimSchema).mutation(({input}) => handlers.acceptClaim({...input, firstSentAgoMs: input.firstSentAgoMs})),
 	/** Tells an owner how the request ended. */
 	settle: peerTrpc.procedure.input(settlementSchema).mutation(({input}) => {
-		handlers.acceptKeySettlement({...input, answer: input.answer});
+		handlers.acceptSettlement({...input, answer: input.answer});
 	}),
 	/** Waits at the holder of a key until its request has ended. */
 	wait: peerTrpc.procedure.input(waitSchema).query(async ({input}) => handlers.waitForKey(input.service, input.key, input.waitMs)),
