Publish an instance list in the bench of the data listener

Cause: without a list an instance takes a cautious share of connections (250 / 64), so the bench's 64 slots met 503 answers. Change: the bench publishes a list whose bound is one instance; no check was changed. Before: 2 tests of observability failed with 503.

--- a/test/support/daemon-bench.ts
+++ b/test/support/daemon-bench.ts
@@ -32,6 +32,8 @@
 		this.dataPort = dataPort;
 		this.routePort = routePort;
 		this.operatorPort = operatorPort;
+		// Without a list an instance takes a cautious share of each target's connections only.
+		this.platform.publishValue('rattansill/instances', {maxInstances: 1, instances: []});
 		this.platform.publishValue('rattansill/templates/plain', {name: 'plain', parameters: {}, service: this._createService(service)});
 		this.platform.publishValue('rattansill/parameters/shop', {
 			service: 'shop', team: 'test', template: 'plain', values: {},
