--- a/src/common/entry-settings-schema.ts
+++ b/src/common/entry-settings-schema.ts
@@ -1,17 +1,11 @@
 import {z} from 'zod';
 import {DecisionPolicy} from './decision-policy.js';
 
-const isLoopback = (host: string) => host === 'localhost' || host === '::1' || /^127(?:\.\d{1,3}){3}$/v.test(host);
 const port = z.int().min(0).max(65_535);
 const outerPort = port.optional().describe('Port under which others reach the listener; its own when absent.');
 const listener = (defaultPort: number) => z.strictObject({
 	host: z.string().min(1).default('127.0.0.1').describe('IP number to listen on.'),
 	port: port.default(defaultPort).describe('TCP port; 0 lets the system choose one.'),
-	tls: z.strictObject({
-		certificateFile: z.string().min(1).describe('PEM file of the certificate chain.'),
-		keyFile: z.string().min(1).describe('PEM file of the private key.'),
-		authorityFile: z.string().min(1).optional().describe('PEM file of the authorities whose client certificates are required; without it none is asked for.'),
-	}).optional().describe('TLS of the listener; plain when absent. The peer listener\'s certificate and authorities also serve this instance\'s connections to peers.'),
 }).prefault({});
 
 /** Schema of the settings of `rattansill-entry`; docs/SETTINGS.md explains each key. */
@@ -30,22 +24,6 @@
 		route: listener(7101),
 		peer: listener(7102),
 		operator: listener(7103),
-		plainOffLoopback: z.array(z.enum(['data', 'route', 'peer', 'operator'])).default(['data', 'route']).describe('Listeners that may serve without TLS on an address other than loopback.'),
-	}).superRefine((listeners, context) => {
-		for (const name of ['data', 'route', 'peer', 'operator'] as const) {
-			const {host, tls} = listeners[name];
-			if (tls === undefined && !isLoopback(host) && !listeners.plainOffLoopback.includes(name)) {
-				context.addIssue({
-					code: 'custom', path: [name, 'tls'], input: tls, message: `required on ${host}, or name "${name}" in listeners.plainOffLoopback`,
-				});
-			}
-		}
-
-		if (listeners.peer.tls !== undefined && listeners.peer.tls.authorityFile === undefined) {
-			context.addIssue({
-				code: 'custom', path: ['peer', 'tls', 'authorityFile'], input: undefined, message: 'required: peers prove themselves to each other',
-			});
-		}
 	}).prefault({}),
 	platform: z.strictObject({
 		urls: z.array(z.url({protocol: /^https?$/v})).min(1).describe('Base URLs of the configuration service, in order of preference.'),
--- a/test/support/daemon-bench.ts
+++ b/test/support/daemon-bench.ts
@@ -30,6 +30,8 @@
 		await new Promise<void>(resolve => {
 			this.target.listen(0, loopback, resolve);
 		});
+		// Without a list an instance takes a cautious share of each target's connections only.
+		this.platform.publishValue('rattansill/instances', {maxInstances: 1, instances: []});
 		this.platform.publishValue('rattansill/templates/plain', {name: 'plain', parameters: {}, service: this._createService(service)});
 		this.platform.publishValue('rattansill/parameters/shop', {
 			service: 'shop', team: 'test', template: 'plain', values: {},
