--- a/src/bin/entry-daemon.ts
+++ b/src/bin/entry-daemon.ts
@@ -11,6 +11,7 @@
 import {ConnectionController} from '../controllers/connection-controller.js';
 import {FleetController} from '../controllers/fleet-controller.js';
 import {createDecisions} from '../controllers/create-decisions.js';
+import {KeyController} from '../controllers/key-controller.js';
 import {MembershipController} from '../controllers/membership-controller.js';
 import {PeerController} from '../controllers/peer-controller.js';
 import {RouteController} from '../controllers/route-controller.js';
@@ -21,6 +22,7 @@
 import {DeadlineFilter} from '../filters/deadline-filter.js';
 import {DispatchFilter} from '../filters/dispatch-filter.js';
 import {FilterChain} from '../filters/filter-chain.js';
+import {IdempotencyFilter} from '../filters/idempotency-filter.js';
 import {TraceTryFilter} from '../filters/trace-try-filter.js';
 import {HedgeFilter} from '../filters/hedge-filter.js';
 import {OutcomeFilter} from '../filters/outcome-filter.js';
@@ -34,6 +36,7 @@
 import {LoadClient} from '../io/load-client.js';
 import {PeerServer} from '../io/peer/peer-server.js';
 import {systemClock} from '../io/system-clock.js';
+import {computeConnectionShare} from '../policy/compute-connection-share.js';
 import {createObservers} from './create-observers.js';
 import {DataListener} from './data-listener.js';
 
@@ -71,6 +74,7 @@
 	private readonly _shutdown: ShutdownController;
 	private readonly _decisions: ReturnType<typeof createDecisions>;
 	private readonly _chain: FilterChain;
+	private readonly _keys: KeyController;
 	private readonly _dataListener: DataListener;
 	private readonly _routeListener: HttpListener;
 	private readonly _operatorListener: HttpListener;
@@ -85,8 +89,10 @@
 		this._configuration = this._store.add(new ConfigurationController({clock: systemClock, logger: this._logger}));
 		this._store.add(this._configuration.onInstanceList(list => {
 			this._members.acceptInstanceList(list);
+			this._keys.updateListed(new Set(list.instances.map(instance => instance.id)));
 		}));
 		this._peers = this._store.add(new PeerController(this._members));
+		this._keys = this._store.add(new KeyController({members: this._members, getPeer: id => this._peers.getClient(id), clock: systemClock}));
 		this._fleet = this._store.add(new FleetController({
 			settings: _settings, members: this._members, configuration: this._configuration, peers: this._peers, clock: systemClock, random: Math.random, logger: this._logger,
 		}));
@@ -114,6 +120,7 @@
 		this._peerServer = this._store.add(new PeerServer({
 			describeSelf: () => this._members.self,
 			load: this._decisions.load,
+			keys: this._keys,
 			fleet: this._fleet.handlers,
 		}));
 	}
@@ -189,7 +196,7 @@
 	private _createChain(): FilterChain {
 		const {limits} = this._settings;
 		const connections = this._store.add(new ConnectionController({connectTimeoutMs: limits.connectTimeoutMs, clock: systemClock}));
-		const getConnectionLimit = (service: ServiceSpec) => Math.max(1, Math.floor(service.connectionsPerTarget / this._members.maxInstances));
+		const getConnectionLimit = (service: ServiceSpec) => computeConnectionShare(service.connectionsPerTarget, this._members.maxInstances);
 		return new FilterChain([
 			...createObservers(this._settings, this._metrics, this._store),
 			new ShutdownFilter(this._shutdown),
@@ -197,6 +204,7 @@
 			new OutcomeFilter(),
 			new ClassifyFilter(this._configuration),
 			new DeadlineFilter(systemClock),
+			new IdempotencyFilter({keys: this._keys, clock: systemClock}),
 			new RetryFilter(this._decisions.budgets),
 			new AdmitFilter(this._decisions.scheduler),
 			...(this._settings.decisions.hedging ? [new HedgeFilter(this._decisions.scheduler, this._decisions.budgets)] : []),
--- a/src/io/peer/peer-handlers.ts
+++ b/src/io/peer/peer-handlers.ts
@@ -1,5 +1,6 @@
 import type {Member} from '../../common/member.js';
 import type {FleetHandlers} from './fleet-handlers.js';
+import type {KeyHandlers} from './key-handlers.js';
 import type {LoadHandlers} from './load-handlers.js';
 
 /** What the controllers offer to peers; each controller adds its own part. */
@@ -8,4 +9,5 @@
 	readonly describeSelf: () => Member;
 	readonly fleet: FleetHandlers;
 	readonly load: LoadHandlers;
+	readonly keys: KeyHandlers;
 };
