--- /dev/null
+++ b/tools/load/experiments/slopes.ts
@@ -0,0 +1,81 @@
+import process from 'node:process';
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {Experiment} from '../experiment.js';
+import {ControlFleet} from '../fleet/control-fleet.js';
+import {fitLine} from '../measure/fit-line.js';
+import type {ArmResult} from '../report/arm-result.js';
+import {createCheck} from '../report/create-check.js';
+
+type Point = {
+	readonly axis: string;
+	readonly value: number;
+	readonly entries: number;
+	readonly services: number;
+	readonly targets: number;
+	readonly changesPerSecond: number;
+};
+
+const base = {
+	entries: 6, services: 8, targets: 10, changesPerSecond: 0,
+};
+const axes: Readonly<Record<string, readonly Point[]>> = {
+	entries: [6, 18, 36, 60].map(value => ({
+		...base, axis: 'entries', value, entries: value,
+	})),
+	services: [8, 50, 100, 200].map(value => ({
+		...base, axis: 'services', value, services: value,
+	})),
+	targets: [10, 50, 100, 200].map(value => ({
+		...base, axis: 'targets', value, targets: value,
+	})),
+	changes: [0, 1, 2, 4].map(value => ({
+		...base, axis: 'changes', value, changesPerSecond: value,
+	})),
+};
+const figures = ['cpuPercent', 'residentMb', 'kilobytesPerSecond', 'platformCallsPerSecond', 'watches'] as const;
+const settleMs = 4000;
+const measureMs = 5000;
+
+const runPoint = async (point: Point): Promise<ArmResult> => {
+	const fleet = new ControlFleet({entries: point.entries, services: point.services, targetsPerService: point.targets});
+	try {
+		await fleet.start();
+		await sleep(settleMs);
+		const usage = await fleet.measureUsage(async () => {
+			const endAt = Date.now() + measureMs;
+			for (let change = 0; Date.now() < endAt; change++) {
+				if (point.changesPerSecond > 0) {
+					fleet.publishService(change % point.services);
+				}
+
+				await sleep(point.changesPerSecond > 0 ? 1000 / point.changesPerSecond : measureMs);
+			}
+		});
+		return {name: `${point.axis} ${point.value}`, value: point.value, ...usage};
+	} finally {
+		fleet.dispose();
+	}
+};
+
+/** What a daemon uses for control against the size of the fleet; one axis a run. */
+export const slopesExperiment: Experiment = {
+	name: 'slopes',
+	description: 'Control cost a daemon against entries, services, targets or changes; the axis by RATTANSILL_AXIS',
+	async run(context) {
+		const points = axes[process.env.RATTANSILL_AXIS ?? 'entries'] ?? [];
+		const arms: ArmResult[] = [];
+		for (const point of points) {
+			arms.push(await runPoint(point));
+			context.log(`${point.axis} ${point.value} done`);
+		}
+
+		const fits = figures.map(figure => ({figure, ...fitLine(arms.map(arm => [Number(arm.value), Number(arm[figure])] as const))}));
+		return {
+			arms: [...arms, ...fits.map(({figure, slope, intercept, residual}) => ({
+				name: `fit ${figure}`, slope, intercept, residual,
+			}))],
+			checks: [createCheck('points', {atLeast: 4}, arms.length)],
+			notes: ['Each point is a fleet of its own at rest or under changes; fits are least squares, the residual is the root of the mean square.'],
+		};
+	},
+};
