Keep one short request on its way to a full target while many wait

Cause: a slot seen as taken until its answer is back at the entry stays idle for a round trip (3 ms beside about 20 ms of work), so the entry queue grew long before the targets were full. Change: while the wait at the entry is longer than that for a slot of one target, a short request may go to a quick full target, up to 15% of its slots and at least one; hedges need 40% of the slots believed free.

--- a/src/controllers/schedule-controller.ts
+++ b/src/controllers/schedule-controller.ts
@@ -65,7 +65,7 @@
 	tryAcquireSlot(demand: SlotDemand): SlotLease | undefined {
 		const now = this._options.clock.now();
 		const scheduler = this.getScheduler(demand.service);
-		const grant = scheduler.queue.size === 0 ? scheduler.tryGrant(scheduler.createRequest(demand, now), now) : undefined;
+		const grant = scheduler.tryGrantSpare(scheduler.createRequest(demand, now), now);
 		return grant === undefined ? undefined : this._createLease(scheduler, grant);
 	}
 
--- a/src/policy/schedule/service-load.test.ts
+++ b/src/policy/schedule/service-load.test.ts
@@ -24,7 +24,9 @@
 });
 
 const createLoad = (targetCount = 4, slots = 2, instanceId = 'entry-1') => new ServiceLoad(createSpec(targetCount, slots), {instanceId, failureDomain: 'kingston-1', peerExpiryMs: 1000});
-const wish = {isLong: false, excludedTargets: [], maxExtraMs: Number.POSITIVE_INFINITY};
+const wish = {
+	isLong: false, excludedTargets: [], maxExtraMs: Number.POSITIVE_INFINITY, mayOverlap: false,
+};
 
 const actionArbitrary = fc.record({
 	kind: fc.constantFrom('start', 'end', 'peer', 'report', 'lie'),
@@ -173,6 +175,31 @@
 		expect([1000, 3100, 5100].map(now => added === undefined ? undefined : load.estimateFreeSlots(added, now))).toEqual([1, 2, 4]);
 	});
 
+	it.each([
+		{
+			title: 'one short request', mayOverlap: true, isLong: false, given: 1,
+		},
+		{
+			title: 'no long request', mayOverlap: true, isLong: true, given: 0,
+		},
+		{
+			title: 'nothing while the queue is short', mayOverlap: false, isLong: false, given: 0,
+		},
+	])('sends a full target $title ahead', ({mayOverlap, isLong, given}) => {
+		const load = createLoad(1, 2);
+		for (let count = 0; count < 2; count++) {
+			load.chooseTarget(wish, 0)?.load.startUse(false, 0);
+		}
+
+		let count = 0;
+		for (let choice = load.chooseTarget({...wish, mayOverlap, isLong}, 0); choice !== undefined; choice = load.chooseTarget({...wish, mayOverlap, isLong}, 0)) {
+			choice.load.startUse(isLong, 0);
+			count++;
+		}
+
+		expect(count).toBe(given);
+	});
+
 	it('prefers the target that answers quickly', () => {
 		const load = createLoad(2, 4);
 		const slow = load.getTarget('t0');
--- a/src/policy/schedule/service-load.ts
+++ b/src/policy/schedule/service-load.ts
@@ -18,6 +18,8 @@
 	readonly excludedTargets: readonly string[];
 	/** Extra time that a slow target may cost before waiting for another one is better, in ms. */
 	readonly maxExtraMs: number;
+	/** Whether a request may be on its way to a full target, so that a slot does not stay idle for a round trip. */
+	readonly mayOverlap: boolean;
 };
 
 type TargetChoice = {
@@ -135,6 +137,20 @@
 
 	/** The best target with a slot believed free; undefined when waiting is better. */
 	chooseTarget(wish: TargetWish, now: number): TargetChoice | undefined {
+		return this._chooseFree(wish, now) ?? (wish.mayOverlap && !wish.isLong ? this._chooseOverlap(wish, now) : undefined);
+	}
+
+	/** Slots of all targets believed free. */
+	countFreeSlots(now: number): number {
+		let sum = 0;
+		for (const target of this._spec.targets) {
+			sum += this.estimateFreeSlots(target, now);
+		}
+
+		return sum;
+	}
+
+	private _chooseFree(wish: TargetWish, now: number): TargetChoice | undefined {
 		const mayEject = this._countEjected(now) <= this._spec.targets.length * panicShare;
 		const isAllExcluded = this._spec.targets.every(target => wish.excludedTargets.includes(target.id));
 		let best: Candidate | undefined;
@@ -149,6 +165,29 @@
 		return isTooSlow ? undefined : best;
 	}
 
+	/** The quickest full target whose slots will mostly be free soon. */
+	private _chooseOverlap(wish: TargetWish, now: number): TargetChoice | undefined {
+		const {slotsPerTarget} = this._spec;
+		const {usualMs} = this;
+		let best: Candidate | undefined;
+		for (const target of this._spec.targets) {
+			const load = this.getTarget(target.id);
+			if (load === undefined || target.leaving || wish.excludedTargets.includes(target.id) || load.isEjected(now)) {
+				continue;
+			}
+
+			load.setPeerCount(this.peers.sumTarget(target.id, now));
+			const shortMs = load.estimateShortMs(usualMs, now);
+			if (load.canOverlap(now, slotsPerTarget) && shortMs <= usualMs * slowFactor && (best === undefined || shortMs < best.score)) {
+				best = {
+					target, load, score: shortMs, shortMs,
+				};
+			}
+		}
+
+		return best;
+	}
+
 	private _rateTarget(target: TargetSpec, isLong: boolean, now: number): Candidate | undefined {
 		const free = this.estimateFreeSlots(target, now);
 		const state = this._targets.get(target.id);
--- a/src/policy/schedule/service-scheduler.ts
+++ b/src/policy/schedule/service-scheduler.ts
@@ -33,6 +33,8 @@
 /** Predicted waits below this are too uncertain to refuse a request for, in ms. */
 const minRefusableWaitMs = 50;
 const minRetryAfterMs = 100;
+/** Share of the slots that must be believed free before a hedge takes one. */
+const spareShare = 0.4;
 
 /** Decides for one service which waiting request runs next and at which target. */
 export class ServiceScheduler<T extends SlotRequest = SlotRequest> {
@@ -68,7 +70,9 @@
 		}
 
 		const {isLong, demand} = request;
-		const choice = this.load.chooseTarget({isLong, excludedTargets: demand.excludedTargets, maxExtraMs: this._computeMaxExtra()}, now);
+		const choice = this.load.chooseTarget({
+			isLong, excludedTargets: demand.excludedTargets, maxExtraMs: this._computeMaxExtra(), mayOverlap: this._mayOverlap(),
+		}, now);
 		if (choice === undefined) {
 			return undefined;
 		}
@@ -78,6 +82,13 @@
 		};
 	}
 
+	/** Gives a hedge a slot if enough slots are believed free that first tries will not miss it. */
+	tryGrantSpare(request: SlotRequest, now: number): SlotGrant | undefined {
+		const {slotsPerTarget, targets} = this.load.spec;
+		const isSpare = this.queue.size === 0 && this.load.countFreeSlots(now) >= slotsPerTarget * targets.length * spareShare;
+		return isSpare ? this.tryGrant(request, now) : undefined;
+	}
+
 	/** Gives slots that are believed free to waiting requests. */
 	serveQueue(now: number): Array<{readonly item: T; readonly grant: SlotGrant}> {
 		const served: Array<{readonly item: T; readonly grant: SlotGrant}> = [];
@@ -138,6 +149,11 @@
 		return waitMs > minRefusableWaitMs && waitMs > leftMs ? Math.max(minRetryAfterMs, waitMs - leftMs) : undefined;
 	}
 
+	/** Whether waiting here takes longer than waiting for a slot of one target. */
+	private _mayOverlap(): boolean {
+		return this.queue.size * this.load.spec.slotsPerTarget > this.load.inFlight;
+	}
+
 	/** Extra time at a slow target for which it is worth to wait for another slot instead, in ms. */
 	private _computeMaxExtra(): number {
 		const {inFlight} = this.load;
--- a/src/policy/schedule/target-load.ts
+++ b/src/policy/schedule/target-load.ts
@@ -22,6 +22,8 @@
 const minEjectionMs = 500;
 const maxEjectionMs = 10_000;
 const failuresUntilEjection = 3;
+/** Requests on their way to a full target, as a share of its slots. */
+const overlapRatio = 0.15;
 
 /** What this instance knows of one target; times are on its clock, in ms. */
 export class TargetLoad {
@@ -142,6 +144,13 @@
 		return Math.max(0, Math.min(slots, limit - this.knownInFlight - this._estimateForeign(now)));
 	}
 
+	/** Whether one more short request may be on its way while all slots are taken; long ones must not hold most of them. */
+	canOverlap(now: number, slots: number): boolean {
+		const isHealthy = !this.isDraining(now) && now >= this._backoffUntil && this._backoffMs === 0 && this._warmingSince === undefined;
+		const allowed = slots + Math.ceil(slots * overlapRatio);
+		return isHealthy && this.knownInFlight + 1 <= allowed && (this._longInFlight + this._peerLongInFlight) * 2 <= slots;
+	}
+
 	/** Whether one more long request may run. */
 	hasRoomForLong(longSlots: number): boolean {
 		return this._longInFlight + this._peerLongInFlight + 1 <= longSlots;
