--- a/src/filters/dispatch-filter.ts
+++ b/src/filters/dispatch-filter.ts
@@ -105,8 +105,14 @@
 		record.apply(TryInput.AnswerStarted);
 		const report = parseLoadReport(answer.rawHeaders, service.drainHeader);
 		if (this._isProvenRefusal(service, answer)) {
+			answer.body.onSettled(isWhole => {
+				this._endUse(connection, isWhole);
+			});
 			answer.body.discard();
-			connection.dispose();
+			if (answer.body.isWhole) {
+				this._endUse(connection, true);
+			}
+
 			record.apply(TryInput.Refused);
 			context.excludedTargets.push(target.id);
 			lease.release(ExchangeEnd.Refused, report);
@@ -122,12 +128,7 @@
 
 		const settle = (isWhole: boolean) => {
 			record.apply(isWhole ? TryInput.AnswerWhole : TryInput.Lost);
-			if (isWhole) {
-				this._options.connections.releaseConnection(connection);
-			} else {
-				connection.dispose();
-			}
-
+			this._endUse(connection, isWhole);
 			const cutEnd = context.signal.aborted ? ExchangeEnd.Cancelled : ExchangeEnd.Lost;
 			const wholeEnd = answer.status >= 500 ? ExchangeEnd.Failed : ExchangeEnd.Answered;
 			lease.release(isWhole ? wholeEnd : cutEnd, report);
@@ -142,6 +143,14 @@
 		return ok(answer);
 	}
 
+	private _endUse(connection: TargetConnection, isWhole: boolean): void {
+		if (isWhole) {
+			this._options.connections.releaseConnection(connection);
+		} else {
+			connection.dispose();
+		}
+	}
+
 	private _computeSilenceLimit(context: RequestContext): number {
 		return Math.max(minSilenceMs, (context.deadlineAt - this._options.clock.now()) / silenceDivisor);
 	}
