Hold a single request rather than send it ahead to a full target

Cause: with nothing in flight of its own an entry sent its first waiting request ahead at once; test/load-sharing.test.ts found it. Change: sending ahead needs more waiting requests than one target's slots share.

--- a/src/policy/schedule/service-scheduler.ts
+++ b/src/policy/schedule/service-scheduler.ts
@@ -151,7 +151,8 @@
 
 	/** Whether waiting here takes longer than waiting for a slot of one target. */
 	private _mayOverlap(): boolean {
-		return this.queue.size * this.load.spec.slotsPerTarget > this.load.inFlight;
+		const {slotsPerTarget} = this.load.spec;
+		return this.queue.size * slotsPerTarget > Math.max(slotsPerTarget, this.load.inFlight);
 	}
 
 	/** Extra time at a slow target for which it is worth to wait for another slot instead, in ms. */
