Add the experiments tail, crest, blocking and mislead

Cause: the targets of the decisions are to be checked on real processes with the same arrivals for each arm. Ruled out: restarting one site with other settings for each slice, since 18 cold processes would be measured.

--- /dev/null
+++ b/tools/load/arms/arm-bench.ts
@@ -0,0 +1,57 @@
+import type {SiteName} from '../../site/site-name.js';
+import type {SiteOptions} from '../../site/site-options.js';
+import type {CallSample} from '../callers/call-sample.js';
+import {LoadFleet} from '../callers/load-fleet.js';
+import type {ExperimentContext} from '../experiment-context.js';
+import type {ArmName} from './arm-name.js';
+import {ArmSamples} from './arm-samples.js';
+import {ArmSite} from './arm-site.js';
+import type {SlicePlan} from './slice-plan.js';
+
+const loadWorkers = 4;
+
+/** Starts the arms of an experiment and gathers their samples by name. */
+export class ArmBench {
+	private readonly _loaders: LoadFleet;
+	private readonly _results = new Map<string, ArmSamples>();
+
+	constructor(private readonly _context: ExperimentContext) {
+		this._loaders = _context.store.add(new LoadFleet(loadWorkers));
+	}
+
+	/** All samples gathered so far, in the order of their names' first use. */
+	get results(): readonly ArmSamples[] {
+		return [...this._results.values()];
+	}
+
+	/** Starts one site an arm, each with its own targets and entries. */
+	async startArms(siteName: SiteName, armNames: readonly ArmName[], site?: Partial<SiteOptions>): Promise<readonly ArmSite[]> {
+		const arms: ArmSite[] = [];
+		for (const arm of armNames) {
+			const armSite = new ArmSite({
+				arm, siteName, context: this._context, loaders: this._loaders, site,
+			});
+			await armSite.start();
+			arms.push(armSite);
+		}
+
+		return arms;
+	}
+
+	/** Runs a slice and adds its samples to a name; resolves with the samples of this slice. */
+	async measureSlice(arm: ArmSite, name: string, slice: SlicePlan): Promise<readonly CallSample[]> {
+		const results = this.getSamples(name);
+		const cpuBefore = await arm.readCpuMs();
+		const samples = await arm.runSlice(slice);
+		results.cpuMs += await arm.readCpuMs() - cpuBefore;
+		results.add(samples, slice.work);
+		return samples;
+	}
+
+	/** Gets the samples of a name. */
+	getSamples(name: string): ArmSamples {
+		const results = this._results.get(name) ?? new ArmSamples(name);
+		this._results.set(name, results);
+		return results;
+	}
+}
--- /dev/null
+++ b/tools/load/arms/arm-site.ts
@@ -0,0 +1,106 @@
+import {Site} from '../../site/site.js';
+import type {SiteName} from '../../site/site-name.js';
+import type {SiteOptions} from '../../site/site-options.js';
+import {siteLayouts} from '../../site/site-layouts.js';
+import type {CallSample} from '../callers/call-sample.js';
+import type {LoadFleet} from '../callers/load-fleet.js';
+import type {LoadPlan} from '../callers/load-plan.js';
+import type {ExperimentContext} from '../experiment-context.js';
+import {readProcessUsage} from '../measure/read-process-usage.js';
+import type {ArmName} from './arm-name.js';
+import {createArmSettings} from './create-arm-settings.js';
+import type {ServiceWork} from './service-work.js';
+import {siteDelays} from './site-delays.js';
+import type {SlicePlan} from './slice-plan.js';
+import {workShape} from './work-shape.js';
+
+type ArmSiteOptions = {
+	readonly arm: ArmName;
+	readonly siteName: SiteName;
+	readonly context: ExperimentContext;
+	readonly loaders: LoadFleet;
+	readonly site?: Partial<SiteOptions>;
+};
+
+const targetWorkers = 2;
+const callersPerService = 32;
+const warmUpMs = 1500;
+const warmUpLoad = 0.3;
+
+/** One arm: a whole site of today's size with its own targets and entries. */
+export class ArmSite {
+	readonly site: Site;
+	private _slices = 0;
+
+	constructor(private readonly _options: ArmSiteOptions) {
+		const {arm, siteName, context, site} = _options;
+		this.site = context.store.add(new Site({
+			site: siteName,
+			targetWorkers,
+			targetBehavior: {oneWayDelayMs: siteDelays[siteName].targetMs},
+			settings: createArmSettings(arm, siteLayouts[siteName].entryCount),
+			...site,
+		}));
+	}
+
+	/** Name of the arm. */
+	get arm(): ArmName {
+		return this._options.arm;
+	}
+
+	/** Starts the site. */
+	async start(): Promise<void> {
+		await this.site.start();
+		this._options.context.log(`${this._options.siteName}: ${this.arm} started`);
+	}
+
+	/** Sends a load that is not recorded. */
+	async warmUp(work: readonly ServiceWork[]): Promise<void> {
+		await this.runSlice({
+			seed: this._options.context.seed, durationMs: warmUpMs, work, load: warmUpLoad,
+		});
+	}
+
+	/** Runs one slice to the end of its last request. */
+	async runSlice(slice: SlicePlan): Promise<readonly CallSample[]> {
+		this._slices++;
+		await this.site.fleet.setBehavior([], {
+			slowSchedule: {
+				seed: slice.seed, share: workShape.slowShare, factor: workShape.slowFactor, episodeMs: workShape.slowEpisodeMs, startedAt: Date.now(),
+			},
+		});
+		return this._options.loaders.run(slice.work.map((work, index) => this._createPlan(slice, work, index)));
+	}
+
+	/** Reads the processor time of all entry processes together, in ms. */
+	async readCpuMs(): Promise<number> {
+		const usages = await Promise.all(this.site.entryPids.map(async pid => readProcessUsage(pid)));
+		return usages.reduce((sum, usage) => sum + usage.cpuMs, 0);
+	}
+
+	private _createPlan(slice: SlicePlan, {service, kinds, carriedPerSecond}: ServiceWork, index: number): LoadPlan {
+		const {instances} = this.site;
+		return {
+			name: `${this.arm.replaceAll(' ', '-')}-${this._slices}`,
+			service,
+			seed: (slice.seed * 100) + index,
+			demand: {
+				ratePerSecond: slice.load * carriedPerSecond,
+				swing: slice.swing ?? workShape.swing,
+				swingPeriodMs: workShape.swingPeriodMs,
+				crestFactor: slice.crestFactor ?? 1,
+				crestEveryMs: slice.crestEveryMs ?? slice.durationMs,
+				crestMs: slice.crestMs ?? 0,
+			},
+			durationMs: slice.durationMs,
+			kinds,
+			callers: callersPerService,
+			domains: siteLayouts[this._options.siteName].failureDomains,
+			routeUrls: instances.map(instance => `http://${instance.host}:${instance.routePort}`),
+			directUrls: [],
+			oneWayDelayMs: siteDelays[this._options.siteName].callerMs,
+			isSpinning: false,
+			concurrency: 0,
+		};
+	}
+}
--- /dev/null
+++ b/tools/load/experiments/blocking.ts
@@ -0,0 +1,92 @@
+import {SiteName} from '../../site/site-name.js';
+import {ArmBench} from '../arms/arm-bench.js';
+import {ArmName} from '../arms/arm-name.js';
+import {createLatencyPlot} from '../arms/create-latency-plot.js';
+import {listServiceWork} from '../arms/list-service-work.js';
+import type {ServiceWork} from '../arms/service-work.js';
+import {workShape} from '../arms/work-shape.js';
+import {CallOutcome} from '../callers/call-outcome.js';
+import type {ExperimentContext} from '../experiment-context.js';
+import type {Experiment} from '../experiment.js';
+import type {CheckResult} from '../report/check-result.js';
+import {createCheck} from '../report/create-check.js';
+
+const defaultSeconds = 6;
+const sliceMs = 2000;
+const load = 0.65;
+const scanShare = 10 * workShape.longShare;
+const armNames = [ArmName.LeastOutstanding, ArmName.Rattansill];
+const scanServices: Readonly<Record<SiteName, readonly string[]>> = {
+	[SiteName.Wigroom]: ['lacefront', 'showvault', 'shadecard'],
+	[SiteName.Urdaneta]: ['catalogo', 'archivo', 'vientos'],
+};
+
+const createName = (siteName: SiteName, arm: ArmName, hasScans: boolean) => `${siteName} ${arm} ${hasScans ? 'with' : 'without'} scans`;
+
+/** Keeps the rate of short requests and leaves the long ones out. */
+const removeScans = (work: readonly ServiceWork[]): readonly ServiceWork[] => work.map(item => {
+	const short = item.kinds.filter(kind => !kind.isLong);
+	const shortShare = short.reduce((sum, kind) => sum + kind.share, 0);
+	return {...item, kinds: short.map(kind => ({...kind, share: kind.share / shortShare})), carriedPerSecond: item.carriedPerSecond * shortShare};
+});
+
+const runSite = async (context: ExperimentContext, siteName: SiteName, bench: ArmBench): Promise<void> => {
+	const arms = await bench.startArms(siteName, armNames, {services: scanServices[siteName]});
+	const withScans = listServiceWork(arms[0]!.site, scanShare);
+	const withoutScans = removeScans(withScans);
+	const rounds = Math.max(1, Math.round((context.seconds ?? defaultSeconds) * 1000 / sliceMs));
+	for (const arm of arms) {
+		await arm.warmUp(withoutScans);
+	}
+
+	for (let round = 0; round < rounds; round++) {
+		for (const arm of arms) {
+			for (const hasScans of [false, true]) {
+				await bench.measureSlice(arm, createName(siteName, arm.arm, hasScans), {
+					seed: (context.seed * 100) + round, durationMs: sliceMs, work: hasScans ? withScans : withoutScans, load,
+				});
+			}
+		}
+	}
+
+	for (const arm of arms) {
+		arm.site.dispose();
+	}
+};
+
+const createChecks = (siteName: SiteName, bench: ArmBench): CheckResult[] => {
+	const withScans = bench.getSamples(createName(siteName, ArmName.Rattansill, true));
+	const withoutScans = bench.getSamples(createName(siteName, ArmName.Rattansill, false));
+	const lostScans = withScans.items.filter(({sample, kind}) => kind.isLong && sample.outcome !== CallOutcome.Whole).length;
+	return [
+		createCheck(`${siteName}: short p99 with scans, to that without`, {atMost: 1.5}, withScans.computeShortPercentile(99) / withoutScans.computeShortPercentile(99)),
+		createCheck(`${siteName}: scans without a whole answer in the end`, {atMost: 0}, lostScans),
+	];
+};
+
+/** Head-of-line blocking of short requests behind long ones. */
+export const blockingExperiment: Experiment = {
+	name: 'blocking',
+	description: 'Short requests\' p99 with long scans at 10 times their usual share, against none',
+	async run(context) {
+		const bench = new ArmBench(context);
+		const siteNames = context.sites ?? Object.values(SiteName);
+		for (const siteName of siteNames) {
+			await runSite(context, siteName, bench);
+		}
+
+		return {
+			arms: bench.results.map(samples => samples.createResult()),
+			checks: siteNames.flatMap(siteName => createChecks(siteName, bench)),
+			plots: siteNames.map(siteName => createLatencyPlot(
+				`${siteName}: short requests with and without scans`,
+				armNames.flatMap(arm => [false, true].map(hasScans => bench.getSamples(createName(siteName, arm, hasScans)))),
+			)),
+			notes: [
+				'Services with scans only; short requests come at the same rate in both conditions.',
+				`Scans are ${scanShare * 100}% of the requests, and all requests together ask for ${load * 100}% of the slots.`,
+				'Scans are declared long and deferrable by the templates; every scan must have its whole answer in the end.',
+			],
+		};
+	},
+};
--- /dev/null
+++ b/tools/load/experiments/crest.ts
@@ -0,0 +1,108 @@
+import {RequestClass} from '../../../src/common/request-class.js';
+import {SiteName} from '../../site/site-name.js';
+import {ArmBench} from '../arms/arm-bench.js';
+import {ArmName} from '../arms/arm-name.js';
+import type {ArmSamples} from '../arms/arm-samples.js';
+import {createLatencyPlot} from '../arms/create-latency-plot.js';
+import {listServiceWork} from '../arms/list-service-work.js';
+import type {ServiceWork} from '../arms/service-work.js';
+import {siteDelays} from '../arms/site-delays.js';
+import {workShape} from '../arms/work-shape.js';
+import {CallOutcome} from '../callers/call-outcome.js';
+import {computeMeanService} from '../callers/compute-mean-service.js';
+import type {ExperimentContext} from '../experiment-context.js';
+import type {Experiment} from '../experiment.js';
+import {LatencyHistogram} from '../measure/latency-histogram.js';
+import type {CheckResult} from '../report/check-result.js';
+import {createCheck} from '../report/create-check.js';
+
+const defaultSeconds = 10;
+const crestEveryMs = 10_000;
+const crestMs = 2000;
+const crestLoad = 1.5;
+const baseLoad = 0.5;
+const recoveryMs = 1000;
+const armNames = [ArmName.LeastOutstanding, ArmName.Rattansill];
+const meanSpeed = 1 - workShape.slowShare + (workShape.slowShare / workShape.slowFactor);
+
+const createName = (siteName: SiteName, arm: ArmName) => `${siteName} ${arm} crest`;
+const isUrgent = (requestClass: RequestClass) => requestClass !== RequestClass.Deferrable;
+const isInCrest = (atMs: number) => atMs % crestEveryMs >= crestMs / 2 && atMs % crestEveryMs < crestMs * 1.5;
+
+/** True for a time outside the crests and the time in which they may still be felt. */
+const isNormal = (atMs: number) => {
+	const phaseMs = atMs % crestEveryMs;
+	return phaseMs < crestMs / 2 || phaseMs >= (crestMs * 1.5) + recoveryMs;
+};
+
+/** Computes the urgent answers in time during the crests, as a share of what the slots can carry of those that arrived. */
+const computeServedShare = (samples: ArmSamples, work: readonly ServiceWork[], crests: number): number => {
+	const urgent = samples.items.filter(({kind}) => isUrgent(kind.requestClass));
+	const served = urgent.filter(({sample, kind}) => sample.outcome === CallOutcome.Whole && sample.latencyMs <= kind.deadlineMs && isInCrest(sample.atMs + sample.latencyMs));
+	let carried = 0;
+	for (const {service, slots, kinds} of work) {
+		const urgentKinds = kinds.filter(kind => isUrgent(kind.requestClass));
+		const share = urgentKinds.reduce((sum, kind) => sum + kind.share, 0);
+		const meanMs = computeMeanService(urgentKinds) / share;
+		const arrived = urgent.filter(({sample}) => sample.service === service && isInCrest(sample.atMs)).length;
+		carried += urgentKinds.length === 0 ? 0 : Math.min(arrived, crests * crestMs * slots * meanSpeed / meanMs);
+	}
+
+	return served.length / carried;
+};
+
+const createChecks = (siteName: SiteName, samples: ArmSamples, work: readonly ServiceWork[], crests: number): CheckResult[] => {
+	const refused = samples.items.filter(({sample}) => sample.outcome === CallOutcome.NotRun);
+	const lateRefusals = refused.filter(({sample}) => isNormal(sample.atMs)).length;
+	const lostDeferrable = samples.items.filter(({sample, kind}) => !isUrgent(kind.requestClass) && sample.outcome !== CallOutcome.Whole).length;
+	// The time at the entry counts here, without the network before it.
+	const refusalP99 = new LatencyHistogram(refused.map(({sample}) => sample.latencyMs - (2 * siteDelays[siteName].callerMs))).getPercentile(99);
+	return [
+		createCheck(`${siteName}: interactive and booking answers in time at the crest, to what the slots carry`, {atLeast: 0.95}, computeServedShare(samples, work, crests)),
+		createCheck(`${siteName}: deferrable requests without a whole answer in the end`, {atMost: 0}, lostDeferrable),
+		createCheck(`${siteName}: refusals outside the crests and the second after them`, {atMost: 0}, lateRefusals),
+		createCheck(`${siteName}: p99 of the time to a refusal (${refused.length} refusals)`, {atMost: 10, unit: 'ms'}, refusalP99),
+	];
+};
+
+const runSite = async (context: ExperimentContext, siteName: SiteName, bench: ArmBench): Promise<CheckResult[]> => {
+	const arms = await bench.startArms(siteName, armNames);
+	const work = listServiceWork(arms[0]!.site, workShape.longShare);
+	const crests = Math.max(1, Math.round((context.seconds ?? defaultSeconds) * 1000 / crestEveryMs));
+	for (const arm of arms) {
+		await arm.warmUp(work);
+		await bench.measureSlice(arm, createName(siteName, arm.arm), {
+			seed: context.seed, durationMs: crests * crestEveryMs, work, load: baseLoad, swing: 0, crestFactor: crestLoad / baseLoad, crestEveryMs, crestMs,
+		});
+	}
+
+	for (const arm of arms) {
+		arm.site.dispose();
+	}
+
+	return createChecks(siteName, bench.getSamples(createName(siteName, ArmName.Rattansill)), work, crests);
+};
+
+/** Service at the crest of a demand swing. */
+export const crestExperiment: Experiment = {
+	name: 'crest',
+	description: 'Answers in time, deferred work and refusals with demand at 1.5 times all slots for 2 s of every 10',
+	async run(context) {
+		const bench = new ArmBench(context);
+		const siteNames = context.sites ?? Object.values(SiteName);
+		const checks: CheckResult[] = [];
+		for (const siteName of siteNames) {
+			checks.push(...await runSite(context, siteName, bench));
+		}
+
+		return {
+			arms: bench.results.map(samples => samples.createResult()),
+			checks,
+			plots: siteNames.map(siteName => createLatencyPlot(`${siteName}: short requests over the crests`, armNames.map(arm => bench.getSamples(createName(siteName, arm))))),
+			notes: [
+				`Demand is ${baseLoad * 100}% of the slots and ${crestLoad * 100}% at the crests.`,
+				'What the slots carry of interactive and booking work in the crest is the lesser of what arrives and of the slots\' time over the mean service time of that work.',
+			],
+		};
+	},
+};
--- a/tools/load/experiments/experiment-registry.ts
+++ b/tools/load/experiments/experiment-registry.ts
@@ -1,7 +1,15 @@
 import type {Experiment} from '../experiment.js';
+import {blockingExperiment} from './blocking.js';
+import {crestExperiment} from './crest.js';
+import {misleadExperiment} from './mislead.js';
 import {overheadExperiment} from './overhead.js';
+import {tailExperiment} from './tail.js';
 
 /** All experiments, in the order in which they are listed. */
 export const experimentRegistry: readonly Experiment[] = [
 	overheadExperiment,
+	tailExperiment,
+	crestExperiment,
+	blockingExperiment,
+	misleadExperiment,
 ];
--- /dev/null
+++ b/tools/load/experiments/mislead.ts
@@ -0,0 +1,69 @@
+import {SiteName} from '../../site/site-name.js';
+import {ReportMode} from '../../standins/target/report-mode.js';
+import {ArmBench} from '../arms/arm-bench.js';
+import {ArmName} from '../arms/arm-name.js';
+import type {ArmSite} from '../arms/arm-site.js';
+import {createLatencyPlot} from '../arms/create-latency-plot.js';
+import {listServiceWork} from '../arms/list-service-work.js';
+import {workShape} from '../arms/work-shape.js';
+import type {ExperimentContext} from '../experiment-context.js';
+import type {Experiment} from '../experiment.js';
+import {createCheck} from '../report/create-check.js';
+
+const defaultSeconds = 8;
+const sliceMs = 2000;
+const load = 0.8;
+const reportDelayMs = 2000;
+const modes = Object.values(ReportMode);
+
+const createName = (siteName: SiteName, mode: ReportMode) => `${siteName} rattansill, reports ${mode}`;
+
+/** Lets a third of each service's targets report in a mode. */
+const setMode = async (arm: ArmSite, mode: ReportMode): Promise<void> => {
+	const figures = await arm.site.fleet.readFigures();
+	const third = figures.map(item => item.target).toSorted((a, b) => a.localeCompare(b)).filter((_, index) => index % 3 === 0);
+	await arm.site.fleet.setBehavior(third, {reportMode: mode, reportDelayMs});
+};
+
+const runSite = async (context: ExperimentContext, siteName: SiteName, bench: ArmBench): Promise<void> => {
+	const arms = await bench.startArms(siteName, [ArmName.Rattansill]);
+	const arm = arms[0]!;
+	const work = listServiceWork(arm.site, workShape.longShare);
+	await arm.warmUp(work);
+	const rounds = Math.max(1, Math.round((context.seconds ?? defaultSeconds) * 1000 / sliceMs));
+	for (let round = 0; round < rounds; round++) {
+		for (const mode of modes) {
+			await setMode(arm, mode);
+			await bench.measureSlice(arm, createName(siteName, mode), {
+				seed: (context.seed * 100) + round, durationMs: sliceMs, work, load,
+			});
+		}
+	}
+
+	arm.site.dispose();
+};
+
+/** What misleading load reports cost. */
+export const misleadExperiment: Experiment = {
+	name: 'mislead',
+	description: 'Short requests\' p99 with reports frozen, inverted or 2 s old at a third of the targets, against true reports',
+	async run(context) {
+		const bench = new ArmBench(context);
+		const siteNames = context.sites ?? Object.values(SiteName);
+		for (const siteName of siteNames) {
+			await runSite(context, siteName, bench);
+		}
+
+		const getP99 = (siteName: SiteName, mode: ReportMode) => bench.getSamples(createName(siteName, mode)).computeShortPercentile(99);
+		return {
+			arms: bench.results.map(samples => samples.createResult()),
+			checks: siteNames.flatMap(siteName => modes.filter(mode => mode !== ReportMode.Honest).map(mode => createCheck(
+				`${siteName}: short p99 with reports ${mode}, to true reports`,
+				{atMost: 1.2},
+				getP99(siteName, mode) / getP99(siteName, ReportMode.Honest),
+			))),
+			plots: siteNames.map(siteName => createLatencyPlot(`${siteName}: short requests by kind of report`, modes.map(mode => bench.getSamples(createName(siteName, mode))))),
+			notes: [`Load ${load * 100}%; conditions alternate on one site with the same arrivals.`],
+		};
+	},
+};
--- a/tools/standins/target/compute-slow-factor.test.ts
+++ b/tools/standins/target/compute-slow-factor.test.ts
@@ -10,14 +10,14 @@
 		{name: 'no schedule', schedule: undefined, now: 5000},
 		{name: 'a time before the start', schedule, now: 999},
 	])('is 1 for $name', ({schedule: given, now}) => {
-		expect(computeSlowFactor(given, now)).toBe(1);
+		expect(computeSlowFactor(given, 0, now)).toBe(1);
 	});
 
 	it('is slow for about the stated share, the same for the same seed', () => {
-		const factors = Array.from({length: 4000}, (_, index) => computeSlowFactor(schedule, 1000 + (index * 100)));
+		const factors = Array.from({length: 4000}, (_, index) => computeSlowFactor(schedule, 5, 1000 + (index * 100)));
 		const share = factors.filter(factor => factor === 4).length / factors.length;
 		expect(share).toBeGreaterThan(0.08);
 		expect(share).toBeLessThan(0.12);
-		expect(factors).toEqual(factors.map((_, index) => computeSlowFactor(schedule, 1050 + (index * 100))));
+		expect(factors).toEqual(factors.map((_, index) => computeSlowFactor(schedule, 5, 1050 + (index * 100))));
 	});
 });
--- a/tools/standins/target/stand-in-target.test.ts
+++ b/tools/standins/target/stand-in-target.test.ts
@@ -94,7 +94,7 @@
 		expect(await askLoad()).toMatchObject(expected);
 		const answers = await Promise.all(running);
 		expect(answers[0]?.headers['endpoint-load-metrics']).toMatch(/^TEXT .*named_metrics\.in_flight=\d/v);
-		expect(target.figures.probesBySecond.reduce((sum, [, count]) => sum + count, 0)).toBe(1);
+		expect(target.figures.probeTimes).toHaveLength(1);
 	});
 
 	it('says on every answer that it drains', async () => {
--- a/tools/standins/target/stand-in-target.ts
+++ b/tools/standins/target/stand-in-target.ts
@@ -3,8 +3,8 @@
 import {performance} from 'node:perf_hooks';
 import type {DisposableLike} from '../../../src/common/disposable-like.js';
 import {HeaderName} from '../../../src/common/header-names.js';
+import {computeHash} from '../../../src/policy/compute-hash.js';
 import {HttpListener} from '../../../src/io/http-listener.js';
-import {SecondCounter} from '../second-counter.js';
 import {computeSlowFactor} from './compute-slow-factor.js';
 import {defaultTargetBehavior} from './default-target-behavior.js';
 import {formatLoadReport} from './format-load-report.js';
@@ -31,8 +31,9 @@
 	private readonly _slots: SlotQueue;
 	private readonly _reporter: LoadReporter;
 	private readonly _sampler: ServiceTimeSampler | undefined;
-	private readonly _probes = new SecondCounter();
+	private readonly _probeTimes: number[] = [];
 	private readonly _startedAt = Date.now();
+	private readonly _idHash: number;
 	private _behavior: TargetBehavior;
 	private _runs = 0;
 	private _busyMs = 0;
@@ -43,6 +44,7 @@
 
 	constructor(private readonly _options: StandInTargetOptions) {
 		this._behavior = {...defaultTargetBehavior, ..._options.behavior};
+		this._idHash = computeHash(_options.id);
 		this._slots = new SlotQueue(_options.slots);
 		this._reporter = new LoadReporter(_options.slots);
 		this._sampler = _options.serviceTimes === undefined ? undefined : new ServiceTimeSampler(_options.serviceTimes);
@@ -81,7 +83,7 @@
 			target: this.id,
 			runs: this._runs,
 			busyMs: this._busyMs,
-			probesBySecond: this._probes.seconds,
+			probeTimes: [...this._probeTimes],
 			probeBytes: this._probeBytes,
 			probeMs: this._probeMs,
 			connections: this._connections,
@@ -142,7 +144,7 @@
 			response.end(body);
 		}, 2 * behavior.oneWayDelayMs);
 		request.resume();
-		this._probes.add(Date.now());
+		this._probeTimes.push(Date.now());
 		this._probeBytes += body.length + headerBytesEstimate;
 		this._probeMs += performance.now() - startedAt;
 	}
@@ -153,7 +155,7 @@
 		const now = Date.now();
 		const {slowFactor, slowSchedule, coldStartMs, coldFactor} = this._behavior;
 		const isCold = now - this._startedAt < coldStartMs;
-		return baseMs * slowFactor * computeSlowFactor(slowSchedule, now) * (isCold ? coldFactor : 1);
+		return baseMs * slowFactor * computeSlowFactor(slowSchedule, this._idHash, now) * (isCold ? coldFactor : 1);
 	}
 
 	private _createStateHeaders(): Record<string, string> {
--- a/tools/standins/target/target-figures.ts
+++ b/tools/standins/target/target-figures.ts
@@ -5,8 +5,8 @@
 	readonly runs: number;
 	/** Time for which slots were taken, in ms. */
 	readonly busyMs: number;
-	/** Calls of the load and health endpoints, by wall-clock second. */
-	readonly probesBySecond: ReadonlyArray<readonly [number, number]>;
+	/** Wall-clock times of the calls of the load and health endpoints, in ms. */
+	readonly probeTimes: readonly number[];
 	/** Bytes of these calls and their answers, headers included. */
 	readonly probeBytes: number;
 	/** Time spent on these calls, in ms. */
