--- a/src/bin/entry-daemon.ts
+++ b/src/bin/entry-daemon.ts
@@ -9,6 +9,7 @@
 import type {ServiceSpec} from '../common/service-spec.js';
 import {ConfigurationController} from '../controllers/configuration-controller.js';
 import {ConnectionController} from '../controllers/connection-controller.js';
+import {FleetController} from '../controllers/fleet-controller.js';
 import {createDecisions} from '../controllers/create-decisions.js';
 import {MembershipController} from '../controllers/membership-controller.js';
 import {PeerController} from '../controllers/peer-controller.js';
@@ -21,6 +22,7 @@
 import {DispatchFilter} from '../filters/dispatch-filter.js';
 import {FilterChain} from '../filters/filter-chain.js';
 import {TraceTryFilter} from '../filters/trace-try-filter.js';
+import {HedgeFilter} from '../filters/hedge-filter.js';
 import {OutcomeFilter} from '../filters/outcome-filter.js';
 import {RetryFilter} from '../filters/retry-filter.js';
 import {disabledMetrics} from '../io/disabled-metrics.js';
@@ -31,7 +33,6 @@
 import {HttpListener} from '../io/http-listener.js';
 import {LoadClient} from '../io/load-client.js';
 import {PeerServer} from '../io/peer/peer-server.js';
-import {PlatformClient} from '../io/platform-client.js';
 import {systemClock} from '../io/system-clock.js';
 import {createObservers} from './create-observers.js';
 import {DataListener} from './data-listener.js';
@@ -42,10 +43,10 @@
 const createInstance = (settings: EntrySettings): Instance => ({
 	id: settings.instance.id,
 	host: settings.instance.host,
-	dataPort: settings.listeners.data.port,
-	routePort: settings.listeners.route.port,
-	peerPort: settings.listeners.peer.port,
-	operatorPort: settings.listeners.operator.port,
+	dataPort: settings.instance.ports.data ?? settings.listeners.data.port,
+	routePort: settings.instance.ports.route ?? settings.listeners.route.port,
+	peerPort: settings.instance.ports.peer ?? settings.listeners.peer.port,
+	operatorPort: settings.instance.ports.operator ?? settings.listeners.operator.port,
 	failureDomain: settings.instance.failureDomain,
 	region: settings.instance.region,
 	leaving: false,
@@ -64,11 +65,12 @@
 	private readonly _metrics: Metrics;
 	private readonly _members: MembershipController;
 	private readonly _configuration: ConfigurationController;
+	private readonly _fleet: FleetController;
+	private readonly _peers: PeerController;
 	private readonly _routes: RouteController;
 	private readonly _shutdown: ShutdownController;
 	private readonly _decisions: ReturnType<typeof createDecisions>;
 	private readonly _chain: FilterChain;
-	private readonly _peers: PeerController;
 	private readonly _dataListener: DataListener;
 	private readonly _routeListener: HttpListener;
 	private readonly _operatorListener: HttpListener;
@@ -77,17 +79,19 @@
 	constructor(private readonly _settings: EntrySettings) {
 		this._logger = new DebugLogger(_settings.instance.id, 'entry');
 		this._metrics = _settings.metrics.enabled ? this._store.add(new StatsdMetrics({..._settings.metrics, instanceId: _settings.instance.id})) : disabledMetrics;
-		this._members = this._store.add(new MembershipController(createInstance(_settings), Date.now()));
-		const platform = this._store.add(new PlatformClient(_settings.platform.urls[0] ?? ''));
-		this._configuration = this._store.add(new ConfigurationController({
-			platform, prefix: _settings.platform.prefix, waitMs: _settings.platform.waitMs, logger: this._logger,
+		this._members = this._store.add(new MembershipController({
+			self: createInstance(_settings), incarnation: Date.now(), clock: systemClock, logger: this._logger,
 		}));
+		this._configuration = this._store.add(new ConfigurationController({clock: systemClock, logger: this._logger}));
 		this._store.add(this._configuration.onInstanceList(list => {
 			this._members.acceptInstanceList(list);
 		}));
 		this._peers = this._store.add(new PeerController(this._members));
+		this._fleet = this._store.add(new FleetController({
+			settings: _settings, members: this._members, configuration: this._configuration, peers: this._peers, clock: systemClock, random: Math.random, logger: this._logger,
+		}));
 		this._routes = this._store.add(new RouteController({
-			..._settings.routes, catalog: this._configuration, members: this._members, clock: systemClock, isListStale: () => false,
+			..._settings.routes, catalog: this._configuration, members: this._members, clock: systemClock, isListStale: () => this._fleet.isListStale,
 		}));
 		this._shutdown = this._store.add(this._createShutdown());
 		this._decisions = this._createDecisions();
@@ -110,22 +114,18 @@
 		this._peerServer = this._store.add(new PeerServer({
 			describeSelf: () => this._members.self,
 			load: this._decisions.load,
-			acceptLeaving: (instanceId, incarnation) => {
-				this._members.acceptLeaving(instanceId, incarnation);
-			},
+			fleet: this._fleet.handlers,
 		}));
 	}
 
 	/** Reads the configuration and opens the listeners; an error names the address that failed. */
 	async start(): Promise<Result<void, Error>> {
-		await this._configuration.start();
 		const {listeners} = this._settings;
-		const results = await Promise.all([
-			this._operatorListener.listen(listeners.operator),
-			this._peerServer.listener.listen(listeners.peer),
-			this._routeListener.listen(listeners.route),
-			this._dataListener.listener.listen(listeners.data),
-		]);
+		// Peers that start at the same time need this one's answers before it serves callers.
+		const inner = await Promise.all([this._operatorListener.listen(listeners.operator), this._peerServer.listener.listen(listeners.peer)]);
+		await this._fleet.start();
+		const outer = await Promise.all([this._routeListener.listen(listeners.route), this._dataListener.listener.listen(listeners.data)]);
+		const results = [...inner, ...outer];
 		const failed = results.find(result => result.isErr());
 		if (failed?.isErr()) {
 			return err(failed.error);
@@ -137,11 +137,7 @@
 
 	/** What this instance believes, for operators. */
 	describeStatus(): unknown {
-		return {
-			self: this._members.self,
-			members: this._members.listMembers(),
-			services: this._configuration.listServices().map(service => service.name),
-		};
+		return this._fleet.describeStatus();
 	}
 
 	/** Begins a planned stop, or hastens one that has begun. */
@@ -163,7 +159,6 @@
 		return new ShutdownController({
 			announceLeaving: () => {
 				this._members.markLeaving();
-				void this._tellPeersOfLeaving();
 			},
 			closeIdle: () => {
 				const {server} = this._dataListener.listener;
@@ -176,13 +171,6 @@
 		});
 	}
 
-	private async _tellPeersOfLeaving(): Promise<void> {
-		const {instance, incarnation} = this._members.self;
-		const peers = this._members.listMembers().flatMap(member => this._peers.getClient(member.instance.id) ?? []);
-		// A peer that cannot be reached learns it from the others or the instance list.
-		await Promise.allSettled(peers.map(async peer => peer.api.leave.announce.mutate({instanceId: instance.id, incarnation})));
-	}
-
 	private _createDecisions(): ReturnType<typeof createDecisions> {
 		const loadClient = this._store.add(new LoadClient());
 		return createDecisions({
@@ -209,8 +197,9 @@
 			new OutcomeFilter(),
 			new ClassifyFilter(this._configuration),
 			new DeadlineFilter(systemClock),
-			new RetryFilter(),
+			new RetryFilter(this._decisions.budgets),
 			new AdmitFilter(this._decisions.scheduler),
+			...(this._settings.decisions.hedging ? [new HedgeFilter(this._decisions.scheduler, this._decisions.budgets)] : []),
 			...(this._settings.tracing.enabled ? [new TraceTryFilter()] : []),
 			new DispatchFilter({connections, clock: systemClock, getConnectionLimit}),
 		]);
--- a/src/io/peer/create-peer-router.ts
+++ b/src/io/peer/create-peer-router.ts
@@ -1,5 +1,5 @@
+import {createFleetRouter} from './create-fleet-router.js';
 import {createLoadRouter} from './load-router.js';
-import {createLeaveRouter} from './leave-router.js';
 import {peerTrpc} from './peer-trpc.js';
 import type {PeerHandlers} from './peer-handlers.js';
 
@@ -7,6 +7,6 @@
 export const createPeerRouter = (handlers: PeerHandlers) => peerTrpc.router({
 	/** Says who answers here. */
 	hello: peerTrpc.procedure.query(() => handlers.describeSelf()),
+	fleet: createFleetRouter(handlers.fleet),
 	load: createLoadRouter(handlers.load),
-	leave: createLeaveRouter(handlers),
 });
