Choose ports below the range of outgoing connections and time the stand-in's tests by its state

Cause: on a busy machine a port that was free when it was looked up was taken by an outgoing connection before the entry listened on it, and two tests of the stand-in target relied on the length of sleeps. Change: ports come from 10000 to 32000 at random; the tests wait for the slot and the queue to be as they need them. Conclusion: the same assertions, without reliance on time.

--- a/tools/site/find-free-ports.ts
+++ b/tools/site/find-free-ports.ts
@@ -1,19 +1,33 @@
-import {createServer, type AddressInfo} from 'node:net';
+import {createServer, type Server} from 'node:net';
 
-const openServer = async () => new Promise<ReturnType<typeof createServer>>((resolve, reject) => {
+const loopback = '127.0.0.1';
+/** Below the range from which the system takes ports for outgoing connections, which could take a port found here. */
+const lowestPort = 10_000;
+const highestPort = 32_000;
+
+const tryListen = async (port: number): Promise<Server | undefined> => new Promise(resolve => {
 	const server = createServer();
-	server.once('error', reject);
-	server.listen(0, '127.0.0.1', () => {
+	server.once('error', () => {
+		resolve(undefined);
+	});
+	server.listen(port, loopback, () => {
 		resolve(server);
 	});
 });
 
-/** Finds TCP ports on loopback that are free now. */
+/** Finds TCP ports on loopback that are free now, chosen at random so that processes that run side by side seldom meet. */
 export const findFreePorts = async (count: number): Promise<number[]> => {
-	const servers = await Promise.all(Array.from({length: count}, openServer));
-	const ports = servers.map(server => (server.address() as AddressInfo).port);
-	await Promise.all(servers.map(async server => new Promise(resolve => {
+	const servers = new Map<number, Server>();
+	while (servers.size < count) {
+		const port = lowestPort + Math.floor(Math.random() * (highestPort - lowestPort));
+		const server = servers.has(port) ? undefined : await tryListen(port);
+		if (server !== undefined) {
+			servers.set(port, server);
+		}
+	}
+
+	await Promise.all([...servers.values()].map(async server => new Promise(resolve => {
 		server.close(resolve);
 	})));
-	return ports;
+	return [...servers.keys()];
 };
--- a/tools/standins/target/stand-in-target.test.ts
+++ b/tools/standins/target/stand-in-target.test.ts
@@ -1,6 +1,5 @@
-import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	afterEach, describe, expect, it,
+	afterEach, describe, expect, it, vi,
 } from 'vitest';
 import {request} from 'undici';
 import type {LoadReport} from '../../../src/common/load-report.js';
@@ -69,13 +68,22 @@
 
 	it.each([{waits: false}, {waits: true}])('frees the place of a caller that closes, waiting: $waits', async ({waits}) => {
 		await start();
-		const first = waits ? send({'x-service-ms': '60'}) : undefined;
-		await sleep(waits ? 20 : 0);
+		// The one before it ends only after the other caller has gone.
+		const first = waits ? send({'x-service-ms': '2000'}) : undefined;
+		await vi.waitFor(() => {
+			expect(target.inFlight).toBe(waits ? 1 : 0);
+		});
 		const caller = new AbortController();
 		const cancelled = expect(send({'x-service-ms': '5000', 'x-request-id': 'gone'}, caller.signal)).rejects.toThrow(/abort/v);
-		await sleep(30);
+		await vi.waitFor(() => {
+			expect({inFlight: target.inFlight, queued: target.queued}).toEqual({inFlight: 1, queued: waits ? 1 : 0});
+		});
 		caller.abort();
 		await cancelled;
+		await vi.waitFor(() => {
+			expect(target.records.find(record => record.requestId === 'gone')?.end).toBe(RunEnd.Cancelled);
+		});
+		expect({inFlight: target.inFlight, queued: target.queued}).toEqual({inFlight: waits ? 1 : 0, queued: 0});
 		await first;
 		expect(await send()).toMatchObject({status: 200});
 		expect(target.records.find(record => record.requestId === 'gone')).toMatchObject({end: RunEnd.Cancelled, startedAt: waits ? undefined : expect.any(Number) as number});
@@ -89,8 +97,10 @@
 	])('reports in mode $mode', async ({mode, expected}) => {
 		await start({reportDelayMs: 60_000});
 		target.setBehavior({reportMode: mode});
-		const running = [send({'x-service-ms': '80'}), send({'x-service-ms': '80'})];
-		await sleep(40);
+		const running = [send({'x-service-ms': '300'}), send({'x-service-ms': '1'})];
+		await vi.waitFor(() => {
+			expect(target.queued).toBe(1);
+		});
 		expect(await askLoad()).toMatchObject(expected);
 		const answers = await Promise.all(running);
 		expect(answers[0]?.headers['endpoint-load-metrics']).toMatch(/^TEXT .*named_metrics\.in_flight=\d/v);
