--- a/src/controllers/membership-controller.ts
+++ b/src/controllers/membership-controller.ts
@@ -20,12 +20,15 @@
 
 const timing = {suspicionMs: 1500, forgetMs: 180_000};
 
+/** Upper bound of instances that is assumed until a list was read. */
+const unlistedMaxInstances = 64;
+
 /** Keeps what this instance believes of the entry instances. */
 export class MembershipController implements MemberDirectory, DisposableLike {
 	private readonly _table: MembershipTable;
 	private readonly _onMembersChanged = new Emitter<readonly Member[]>();
 	private readonly _onNews = new Emitter<readonly MemberRecord[]>();
-	private _maxInstances = 1;
+	private _maxInstances = unlistedMaxInstances;
 	private _digest: number | undefined;
 
 	constructor(private readonly _options: MembershipOptions) {
