--- a/tools/load/experiments/experiment-registry.ts
+++ b/tools/load/experiments/experiment-registry.ts
@@ -1,9 +1,11 @@
 import type {Experiment} from '../experiment.js';
 import {blockingExperiment} from './blocking.js';
 import {crestExperiment} from './crest.js';
+import {disseminationExperiment} from './dissemination.js';
 import {misleadExperiment} from './mislead.js';
 import {overheadExperiment} from './overhead.js';
 import {probeCostExperiment} from './probe-cost.js';
+import {slopesExperiment} from './slopes.js';
 import {tailExperiment} from './tail.js';
 
 /** All experiments, in the order in which they are listed. */
@@ -14,4 +16,6 @@
 	crestExperiment,
 	blockingExperiment,
 	misleadExperiment,
+	disseminationExperiment,
+	slopesExperiment,
 ];
--- a/tools/site/find-free-ports.ts
+++ b/tools/site/find-free-ports.ts
@@ -1,33 +1,36 @@
-import {createServer, type Server} from 'node:net';
+import {createServer} from 'node:net';
+import process from 'node:process';
 
-const loopback = '127.0.0.1';
-/** Below the range from which the system takes ports for outgoing connections, which could take a port found here. */
-const lowestPort = 10_000;
-const highestPort = 32_000;
+/** Ports below those that the system gives to outgoing connections, so that none takes a port between two lives of a process. */
+const firstPort = 10_000;
+const portCount = 22_000;
+/** Spreads processes that look for ports at the same time over the range. */
+const processStep = 397;
 
-const tryListen = async (port: number): Promise<Server | undefined> => new Promise(resolve => {
+let nextOffset = (process.pid * processStep) % portCount;
+
+const isFree = async (port: number): Promise<boolean> => new Promise(resolve => {
 	const server = createServer();
 	server.once('error', () => {
-		resolve(undefined);
+		resolve(false);
 	});
-	server.listen(port, loopback, () => {
-		resolve(server);
+	server.listen(port, '127.0.0.1', () => {
+		server.close(() => {
+			resolve(true);
+		});
 	});
 });
 
-/** Finds TCP ports on loopback that are free now, chosen at random so that processes that run side by side seldom meet. */
+/** Finds TCP ports on loopback that are free now; no two calls of a process give the same one until the range is used up. */
 export const findFreePorts = async (count: number): Promise<number[]> => {
-	const servers = new Map<number, Server>();
-	while (servers.size < count) {
-		const port = lowestPort + Math.floor(Math.random() * (highestPort - lowestPort));
-		const server = servers.has(port) ? undefined : await tryListen(port);
-		if (server !== undefined) {
-			servers.set(port, server);
+	const ports: number[] = [];
+	for (let attempt = 0; ports.length < count && attempt < portCount; attempt++) {
+		const port = firstPort + nextOffset;
+		nextOffset = (nextOffset + 1) % portCount;
+		if (await isFree(port)) {
+			ports.push(port);
 		}
 	}
 
-	await Promise.all([...servers.values()].map(async server => new Promise(resolve => {
-		server.close(resolve);
-	})));
-	return [...servers.keys()];
+	return ports;
 };
