--- a/tools/load/report/format-table.ts
+++ b/tools/load/report/format-table.ts
@@ -1,6 +1,6 @@
 type Row = Readonly<Record<string, string | number | boolean>>;
 
-const formatCell = (value: string | number | boolean | undefined): string => typeof value === 'number' ? String(Number(value.toPrecision(4))) : String(value ?? '');
+const formatCell = (value: string | number | boolean | undefined): string => typeof value === 'number' && !Number.isInteger(value) ? String(Number(value.toPrecision(4))) : String(value ?? '');
 
 /** Formats rows as a table with a heading, columns aligned. */
 export const formatTable = (rows: readonly Row[]): string => {
