--- a/src/bin/entry-daemon.ts
+++ b/src/bin/entry-daemon.ts
@@ -13,6 +13,7 @@
 import {createDecisions} from '../controllers/create-decisions.js';
 import {KeyController} from '../controllers/key-controller.js';
 import {MembershipController} from '../controllers/membership-controller.js';
+import {PauseController} from '../controllers/pause-controller.js';
 import {PeerController} from '../controllers/peer-controller.js';
 import {RouteController} from '../controllers/route-controller.js';
 import {ShutdownController} from '../controllers/shutdown-controller.js';
@@ -25,6 +26,7 @@
 import {IdempotencyFilter} from '../filters/idempotency-filter.js';
 import {TraceTryFilter} from '../filters/trace-try-filter.js';
 import {HedgeFilter} from '../filters/hedge-filter.js';
+import {PauseFilter} from '../filters/pause-filter.js';
 import {OutcomeFilter} from '../filters/outcome-filter.js';
 import {RetryFilter} from '../filters/retry-filter.js';
 import {disabledMetrics} from '../io/disabled-metrics.js';
@@ -43,6 +45,8 @@
 /** Time within which the peers' route answers no longer name an instance that is leaving, in ms. */
 const tellPeersMs = 1000;
 
+const hearPeersMs = 300;
+
 const createInstance = (settings: EntrySettings): Instance => ({
 	id: settings.instance.id,
 	host: settings.instance.host,
@@ -75,6 +79,7 @@
 	private readonly _decisions: ReturnType<typeof createDecisions>;
 	private readonly _chain: FilterChain;
 	private readonly _keys: KeyController;
+	private readonly _pauses: PauseController;
 	private readonly _dataListener: DataListener;
 	private readonly _routeListener: HttpListener;
 	private readonly _operatorListener: HttpListener;
@@ -99,6 +104,7 @@
 		this._routes = this._store.add(new RouteController({
 			..._settings.routes, catalog: this._configuration, members: this._members, clock: systemClock, isListStale: () => this._fleet.isListStale,
 		}));
+		this._pauses = this._store.add(this._createPauses());
 		this._shutdown = this._store.add(this._createShutdown());
 		this._decisions = this._createDecisions();
 		this._chain = this._createChain();
@@ -161,6 +167,20 @@
 		this._store.dispose();
 	}
 
+	private _createPauses(): PauseController {
+		const pauses = new PauseController({clock: systemClock, logger: this._logger, refreshView: async () => this._hearPeers()});
+		this._store.add(pauses.onWoke(() => {
+			this._keys.distrustView();
+		}));
+		return pauses;
+	}
+
+	/** What peers sent before their answers has been taken in by then; one that cannot be reached is not waited for long. */
+	private async _hearPeers(): Promise<void> {
+		const peers = this._members.listMembers().flatMap(member => this._peers.getClient(member.instance.id) ?? []);
+		await Promise.allSettled(peers.map(async peer => peer.api.hello.query(undefined, {signal: AbortSignal.timeout(hearPeersMs)})));
+	}
+
 	private _createShutdown(): ShutdownController {
 		const {routes, shutdown} = this._settings;
 		return new ShutdownController({
@@ -196,6 +216,9 @@
 	private _createChain(): FilterChain {
 		const {limits} = this._settings;
 		const connections = this._store.add(new ConnectionController({connectTimeoutMs: limits.connectTimeoutMs, clock: systemClock}));
+		this._store.add(this._pauses.onWoke(() => {
+			connections.dropIdle();
+		}));
 		const getConnectionLimit = (service: ServiceSpec) => computeConnectionShare(service.connectionsPerTarget, this._members.maxInstances);
 		return new FilterChain([
 			...createObservers(this._settings, this._metrics, this._store),
@@ -209,6 +232,7 @@
 			new AdmitFilter(this._decisions.scheduler),
 			...(this._settings.decisions.hedging ? [new HedgeFilter(this._decisions.scheduler, this._decisions.budgets)] : []),
 			...(this._settings.tracing.enabled ? [new TraceTryFilter()] : []),
+			new PauseFilter({pauses: this._pauses, clock: systemClock}),
 			new DispatchFilter({connections, clock: systemClock, getConnectionLimit}),
 		]);
 	}
--- a/src/filters/dispatch-filter.ts
+++ b/src/filters/dispatch-filter.ts
@@ -29,12 +29,14 @@
 };
 
 type Classified = {readonly lease: SlotLease; readonly service: ServiceSpec; readonly rule: RequestRule};
-type Connected = {readonly lease: SlotLease; readonly service: ServiceSpec; readonly connection: TargetConnection};
+type Connected = Classified & {readonly connection: TargetConnection};
 
 /** Age of the last proof of life up to which a connection carries a request that must not run twice, in ms. */
 const provedMs = 100;
 /** The same for idempotent requests, in ms. */
 const idleMs = 30_000;
+/** Allowed age of a proof that no open connection meets. */
+const newOnly = Number.NEGATIVE_INFINITY;
 /** Shortest silence after which an idempotent request leaves a reused connection, in ms. */
 const minSilenceMs = 500;
 /** Part of the time left that an idempotent request waits on a silent reused connection. */
@@ -54,23 +56,28 @@
 			return err(new RequestError(ErrorKind.InternalQueued, 'the request has no slot'));
 		}
 
+		return this._dispatch(context, {lease, service, rule}, rule.idempotent ? idleMs : provedMs);
+	}
+
+	private async _dispatch(context: RequestContext, classified: Classified, maxProofAgeMs: number): FilterResult {
+		const {lease, rule} = classified;
 		const record = context.ledger.beginTry(rule.idempotent);
 		if (record === undefined) {
 			lease.release(ExchangeEnd.Unused);
 			return err(new RequestError(ErrorKind.InternalDispatched, 'a second dispatch could run the request twice'));
 		}
 
-		const connected = await this._connect(context, record, {lease, service, rule});
-		return connected.isErr() ? err(connected.error) : this._exchange(context, record, {lease, service, connection: connected.value});
+		const connected = await this._connect(context, record, classified, maxProofAgeMs);
+		return connected.isErr() ? err(connected.error) : this._exchange(context, record, {...classified, connection: connected.value});
 	}
 
 	/** Takes a connection; an error of it proves that nothing was sent. */
-	private async _connect(context: RequestContext, record: TryRecord, {lease, service, rule}: Classified): Promise<Result<TargetConnection, RequestError>> {
+	private async _connect(context: RequestContext, record: TryRecord, {lease, service, rule}: Classified, maxProofAgeMs: number): Promise<Result<TargetConnection, RequestError>> {
 		record.apply(TryInput.Connect);
 		const acquired = await this._options.connections.acquireConnection({
 			target: lease.target,
 			limit: this._options.getConnectionLimit(service),
-			maxProofAgeMs: rule.idempotent ? idleMs : provedMs,
+			maxProofAgeMs,
 			tls: service.tls,
 			silenceLimitMs: rule.idempotent ? this._computeSilenceLimit(context) : Number.POSITIVE_INFINITY,
 			signal: context.signal,
@@ -84,7 +91,8 @@
 		return acquired;
 	}
 
-	private async _exchange(context: RequestContext, record: TryRecord, {lease, service, connection}: Connected): FilterResult {
+	private async _exchange(context: RequestContext, record: TryRecord, connected: Connected): FilterResult {
+		const {lease, service, connection} = connected;
 		const {target} = lease;
 		record.apply(TryInput.Dispatch);
 		const result = await connection.sendRequest({
@@ -97,6 +105,10 @@
 		if (result.isErr()) {
 			connection.dispose();
 			record.apply(result.error.isWritten ? TryInput.Lost : TryInput.Unwritten);
+			if (this._canRenew(context, connected)) {
+				return this._dispatch(context, connected, newOnly);
+			}
+
 			lease.release(context.signal.aborted ? ExchangeEnd.Cancelled : ExchangeEnd.Lost);
 			return err(this._explainFailure(context, result.error));
 		}
@@ -151,6 +163,12 @@
 		}
 	}
 
+	/** A connection that was used before may have been dead already; the same slot is used once more, on a new one. */
+	private _canRenew(context: RequestContext, {connection, rule}: Connected): boolean {
+		const {request, signal, ledger} = context;
+		return connection.requestCount > 1 && !signal.aborted && !(hasBody(request) && request.readableDidRead) && ledger.canTry(rule.idempotent);
+	}
+
 	private _computeSilenceLimit(context: RequestContext): number {
 		return Math.max(minSilenceMs, (context.deadlineAt - this._options.clock.now()) / silenceDivisor);
 	}
--- a/src/io/target-connection.ts
+++ b/src/io/target-connection.ts
@@ -20,6 +20,7 @@
 	private readonly _client: Client;
 	private readonly _onClosed = new Emitter<void>();
 	private _isClosed = false;
+	private _requestCount = 0;
 	private _lastProofAt: number;
 
 	/**
@@ -67,6 +68,11 @@
 		return this._isClosed;
 	}
 
+	/** Requests sent on the connection. */
+	get requestCount(): number {
+		return this._requestCount;
+	}
+
 	/** Time of the last bytes received, or of the connect, on the instance's clock, in ms. */
 	get lastProofAt(): number {
 		return this._lastProofAt;
@@ -74,6 +80,7 @@
 
 	/** Sends a request; resolves at the head of the answer. */
 	async sendRequest(request: TargetRequest): Promise<Result<TargetAnswer, ExchangeFailure>> {
+		this._requestCount++;
 		const bytesBefore = this._socket.bytesWritten;
 		return new Promise(resolve => {
 			let body: AnswerBody | undefined;
--- a/src/policy/outcome-ledger.ts
+++ b/src/policy/outcome-ledger.ts
@@ -20,12 +20,20 @@
 		return this.outcome !== Outcome.NotRun;
 	}
 
+	/**
+	Whether a further try is safe.
+	@param isIdempotent - Whether the request may run more than once.
+	*/
+	canTry(isIdempotent: boolean): boolean {
+		return isIdempotent || this._tries.every(record => record.stage === TryStage.Settled && record.outcome === Outcome.NotRun);
+	}
+
 	/**
 	Begins a try; undefined when a second dispatch could run the request twice.
 	@param isIdempotent - Whether the request may run more than once.
 	*/
 	beginTry(isIdempotent: boolean): TryRecord | undefined {
-		if (!isIdempotent && !this._tries.every(record => record.stage === TryStage.Settled && record.outcome === Outcome.NotRun)) {
+		if (!this.canTry(isIdempotent)) {
 			return undefined;
 		}
 
--- a/test/planned-stop.test.ts
+++ b/test/planned-stop.test.ts
@@ -4,8 +4,8 @@
 } from 'vitest';
 import {SiteName} from '../tools/site/site-name.js';
 import {Site} from '../tools/site/site.js';
-import {Caller} from './support/caller.js';
-import {checkTruth} from './support/check-truth.js';
+import {Caller} from '../tools/truth/caller.js';
+import {checkTruth} from '../tools/truth/check-truth.js';
 
 describe('a planned stop', () => {
 	const site = new Site({
--- a/test/resends.test.ts
+++ b/test/resends.test.ts
@@ -5,7 +5,7 @@
 } from 'vitest';
 import {SiteName} from '../tools/site/site-name.js';
 import {Site} from '../tools/site/site.js';
-import {Caller} from './support/caller.js';
+import {Caller} from '../tools/truth/caller.js';
 
 describe('resends with an idempotency key', () => {
 	const site = new Site({
--- a/tools/load/rattansill-load.ts
+++ b/tools/load/rattansill-load.ts
@@ -33,6 +33,7 @@
 	readonly experiment = Option.String();
 	readonly seed = Option.String('--seed', '1', {description: 'Seed of arrivals, service times and faults', validator: t.isNumber()});
 	readonly seconds = Option.String('--seconds', {description: 'Time of load for each arm, in seconds', validator: t.isNumber()});
+	readonly minutes = Option.String('--minutes', {description: 'The same in minutes', validator: t.isNumber()});
 	readonly site = Option.String('--site', {description: 'Only this site: wigroom or urdaneta', validator: t.isEnum(SiteName)});
 	readonly json = Option.Boolean('--json', false, {description: 'Print one JSON object as the last line'});
 	readonly report = Option.String('--report', {description: 'Folder for an HTML page with plots'});
@@ -60,7 +61,7 @@
 		try {
 			return await experiment.run({
 				seed: this.seed,
-				seconds: this.seconds,
+				seconds: this.minutes === undefined ? this.seconds : this.minutes * 60,
 				sites: this.site === undefined ? undefined : [this.site],
 				store,
 				log: line => {
--- a/test/support/caller.ts
+++ b/tools/truth/caller.ts
@@ -12,15 +12,19 @@
 type SendOptions = {
 	readonly method?: 'GET' | 'POST';
 	readonly headers?: Readonly<Record<string, string>>;
+	/** Name of the request for the targets' ledgers; a new one when undefined. */
+	readonly requestId?: string;
 	/** Path; one of the request's own when undefined. */
 	readonly path?: string;
 	/** Entry to use, as host and port; the one of the route answer when undefined. */
 	readonly entry?: string;
 };
 
-const readBody = (text: string): {requestId?: string; outcome?: string} => {
+type Body = {readonly requestId?: string; readonly outcome?: string; readonly type?: string};
+
+const readBody = (text: string): Body => {
 	try {
-		return JSON.parse(text) as {requestId?: string; outcome?: string};
+		return JSON.parse(text) as Body;
 	} catch {
 		return {};
 	}
@@ -37,10 +41,11 @@
 	constructor(private readonly _options: CallerOptions) {}
 
 	/** Sends one request and records what came of it. */
-	async send({method = 'GET', headers = {}, entry, path}: SendOptions = {}): Promise<Told> {
-		const requestId = randomUUID();
+	async send({method = 'GET', headers = {}, entry, path, requestId = randomUUID()}: SendOptions = {}): Promise<Told> {
 		const address = entry ?? await this._chooseEntry();
-		const told = await this._exchange({requestId, method, entry: address}, path ?? `/bookings/${requestId}`, headers);
+		const told = await this._exchange({
+			requestId, method, entry: address, sentAt: Date.now(),
+		}, path ?? `/bookings/${requestId}`, headers);
 		this.told.push(told);
 		return told;
 	}
@@ -49,7 +54,7 @@
 		await this._agent.destroy();
 	}
 
-	private async _exchange(base: {requestId: string; method: 'GET' | 'POST'; entry: string}, path: string, headers: Readonly<Record<string, string>>): Promise<Told> {
+	private async _exchange(base: Pick<Told, 'requestId' | 'entry' | 'sentAt'> & {method: 'GET' | 'POST'}, path: string, headers: Readonly<Record<string, string>>): Promise<Told> {
 		try {
 			const answer = await request(`http://${base.entry}${path}`, {
 				method: base.method,
@@ -59,11 +64,11 @@
 			});
 			const body = readBody(await answer.body.text());
 			return {
-				...base, status: answer.statusCode, outcome: body.outcome, answeredId: body.requestId, error: undefined,
+				...base, status: answer.statusCode, outcome: body.outcome, answeredId: body.requestId, error: undefined, kind: body.type?.split(':').at(-1), endedAt: Date.now(),
 			};
 		} catch (error) {
 			return {
-				...base, status: 0, outcome: undefined, answeredId: undefined, error: (error as Error).message,
+				...base, status: 0, outcome: undefined, answeredId: undefined, error: (error as Error).message, kind: undefined, endedAt: Date.now(),
 			};
 		}
 	}
--- a/test/support/check-truth.ts
+++ b/tools/truth/check-truth.ts
@@ -1,5 +1,5 @@
-import {RunEnd} from '../../tools/standins/target/run-end.js';
-import type {RunRecord} from '../../tools/standins/target/run-record.js';
+import {RunEnd} from '../standins/target/run-end.js';
+import type {RunRecord} from '../standins/target/run-record.js';
 import type {Told} from './told.js';
 
 const findRuns = (records: readonly RunRecord[]): Map<string, number> => {
--- a/test/support/told.ts
+++ b/tools/truth/told.ts
@@ -11,4 +11,9 @@
 	/** Entry that was asked. */
 	readonly entry: string;
 	readonly error: string | undefined;
+	/** Error kind that the system stated; undefined for a target's answer. */
+	readonly kind: string | undefined;
+	/** Wall-clock times in ms. */
+	readonly sentAt: number;
+	readonly endedAt: number;
 };
