--- a/tools/load/experiments/fault-injector.ts
+++ b/tools/load/experiments/fault-injector.ts
@@ -17,7 +17,7 @@
 	private readonly _faults: ReadonlyMap<string, Fault>;
 	private _isEntryBusy = false;
 
-	constructor(private readonly _site: Site, private readonly _random: SeededRandom) {
+	constructor(private readonly _site: Site, private readonly _random: SeededRandom, private readonly _log: (line: string) => void) {
 		for (const [index, instance] of _site.instances.entries()) {
 			const entry = _site.entries[index];
 			if (entry !== undefined) {
@@ -57,6 +57,7 @@
 			kind, subject, startedAt: Date.now(), endedAt: Number.POSITIVE_INFINITY,
 		};
 		this.windows.push(window);
+		this._log(`${kind} ${subject}`);
 		return window;
 	}
 
--- a/tools/load/experiments/faults.ts
+++ b/tools/load/experiments/faults.ts
@@ -60,7 +60,7 @@
 		let told = await this.caller.send();
 		for (let attempt = 1; attempt < 3 && told.status !== 200; attempt++) {
 			await sleep(100 * attempt);
-			told = await this.caller.send();
+			told = await this.caller.send({avoid: told.entry});
 		}
 
 		this.finalReads.push(told);
@@ -76,7 +76,7 @@
 		if (isKeyed && first.status !== 200) {
 			await sleep(200);
 			await this.caller.send({
-				method: 'POST', requestId, headers: {...headers, 'rattansill-first-sent-ms-ago': String(Date.now() - first.sentAt)}, path: `/bookings/${requestId}`,
+				avoid: first.entry, method: 'POST', requestId, headers: {...headers, 'rattansill-first-sent-ms-ago': String(Date.now() - first.sentAt)}, path: `/bookings/${requestId}`,
 			});
 		}
 	}
@@ -150,7 +150,7 @@
 	}));
 	await site.start();
 	const endAt = Date.now() + (seconds * 1000);
-	const injector = new FaultInjector(site, new SeededRandom(context.seed, 0));
+	const injector = new FaultInjector(site, new SeededRandom(context.seed, 0), context.log);
 	const loads = services.map((service, index) => new FaultLoad(
 		new Caller({service, routePorts: site.instances.map(instance => instance.routePort)}),
 		new SeededRandom(context.seed, index + 1),
--- a/tools/truth/caller.ts
+++ b/tools/truth/caller.ts
@@ -16,6 +16,8 @@
 	readonly requestId?: string;
 	/** Path; one of the request's own when undefined. */
 	readonly path?: string;
+	/** Entry that failed before and is not asked again, where the route answer names another. */
+	readonly avoid?: string;
 	/** Entry to use, as host and port; the one of the route answer when undefined. */
 	readonly entry?: string;
 };
@@ -41,8 +43,8 @@
 	constructor(private readonly _options: CallerOptions) {}
 
 	/** Sends one request and records what came of it. */
-	async send({method = 'GET', headers = {}, entry, path, requestId = randomUUID()}: SendOptions = {}): Promise<Told> {
-		const address = entry ?? await this._chooseEntry();
+	async send({method = 'GET', headers = {}, entry, path, avoid, requestId = randomUUID()}: SendOptions = {}): Promise<Told> {
+		const address = entry ?? await this._chooseEntry(avoid);
 		const told = await this._exchange({
 			requestId, method, entry: address, sentAt: Date.now(),
 		}, path ?? `/bookings/${requestId}`, headers);
@@ -73,15 +75,16 @@
 		}
 	}
 
-	private async _chooseEntry(): Promise<string> {
+	private async _chooseEntry(avoid: string | undefined): Promise<string> {
 		if (this._route === undefined || Date.now() >= this._expiresAt) {
 			await this._askRoute();
 		}
 
-		const addresses = this._route?.addresses ?? [];
+		const named = (this._route?.addresses ?? []).map(({host, port}) => `${host}:${port}`);
+		const others = named.filter(address => address !== avoid);
+		const usable = others.length === 0 ? named : others;
 		this._turn++;
-		const address = addresses[this._turn % Math.max(1, addresses.length)];
-		return `${address?.host}:${address?.port}`;
+		return usable[this._turn % Math.max(1, usable.length)] ?? '';
 	}
 
 	private async _askRoute(): Promise<void> {
