--- a/tools/load/experiments/experiment-registry.ts
+++ b/tools/load/experiments/experiment-registry.ts
@@ -1,12 +1,22 @@
 import type {Experiment} from '../experiment.js';
-import {faultsExperiment} from './faults.js';
+import {blockingExperiment} from './blocking.js';
+import {crestExperiment} from './crest.js';
 import {disseminationExperiment} from './dissemination.js';
+import {faultsExperiment} from './faults.js';
+import {misleadExperiment} from './mislead.js';
 import {overheadExperiment} from './overhead.js';
+import {probeCostExperiment} from './probe-cost.js';
 import {slopesExperiment} from './slopes.js';
+import {tailExperiment} from './tail.js';
 
 /** All experiments, in the order in which they are listed. */
 export const experimentRegistry: readonly Experiment[] = [
 	overheadExperiment,
+	tailExperiment,
+	probeCostExperiment,
+	crestExperiment,
+	blockingExperiment,
+	misleadExperiment,
 	faultsExperiment,
 	disseminationExperiment,
 	slopesExperiment,
