--- a/tools/load/experiments/experiment-registry.ts
+++ b/tools/load/experiments/experiment-registry.ts
@@ -2,6 +2,7 @@
 import {blockingExperiment} from './blocking.js';
 import {crestExperiment} from './crest.js';
 import {disseminationExperiment} from './dissemination.js';
+import {faultsExperiment} from './faults.js';
 import {misleadExperiment} from './mislead.js';
 import {overheadExperiment} from './overhead.js';
 import {probeCostExperiment} from './probe-cost.js';
@@ -16,6 +17,7 @@
 	crestExperiment,
 	blockingExperiment,
 	misleadExperiment,
+	faultsExperiment,
 	disseminationExperiment,
 	slopesExperiment,
 ];
