Open a few connections at a time and wait for the first that is released or opened

Cause: every request without an idle connection opened one of its own; a burst after a quiet time opened hundreds, each costs more processor time than a request. A request whose share was in use had no bounded wait. Change: requests wait in order for a connection released or opened; at most 4 are opened to a target at a time; a failure to open fails those that waited for it, as not run.

--- a/src/controllers/connection-controller.test.ts
+++ b/src/controllers/connection-controller.test.ts
@@ -3,7 +3,7 @@
 } from 'node:net';
 import fc from 'fast-check';
 import {
-	afterEach, beforeEach, describe, expect, it,
+	afterEach, beforeEach, describe, expect, it, vi,
 } from 'vitest';
 import {ErrorKind} from '../common/error-kind.js';
 import {RequestError} from '../common/request-error.js';
@@ -44,7 +44,7 @@
 		id: 't', host: '127.0.0.1', port: (server.address() as AddressInfo).port, failureDomain: 'a', leaving: false,
 	});
 	const acquire = async (change: Partial<Parameters<ConnectionController['acquireConnection']>[0]> = {}) => connections.acquireConnection({
-		target: getTarget(), limit: 4, maxProofAgeMs: 100, tls: false, silenceLimitMs: Number.POSITIVE_INFINITY, signal: new AbortController().signal, ...change,
+		target: change.target ?? getTarget(), limit: 4, maxProofAgeMs: 100, tls: false, silenceLimitMs: Number.POSITIVE_INFINITY, signal: new AbortController().signal, ...change,
 	});
 	const acquireWell = async (change: Partial<Parameters<ConnectionController['acquireConnection']>[0]> = {}): Promise<TargetConnection> => {
 		const acquired = await acquire(change);
@@ -89,6 +89,41 @@
 		expect(silent.isClosed).toBe(true);
 	});
 
+	it('opens a few connections at a time and serves a burst with those released', async () => {
+		const burst = Array.from({length: 12}, async () => acquire({limit: 12}));
+		expect(connections.countConnections(getTarget())).toBe(4);
+		const released = new Set<TargetConnection>();
+		for (const waiting of burst) {
+			const acquired = await waiting;
+			const connection = acquired._unsafeUnwrap();
+			released.add(connection);
+			connections.releaseConnection(connection);
+		}
+
+		expect(released.size).toBeLessThan(12);
+	});
+
+	it('fails all that waited for a connection which could not be opened', async () => {
+		const target = getTarget();
+		await new Promise(resolve => {
+			server.close(resolve);
+		});
+		const results = await Promise.all(Array.from({length: 12}, async () => acquire({target, limit: 12})));
+		expect(results.map(result => result._unsafeUnwrapErr().kind)).toEqual(Array.from({length: 12}, () => ErrorKind.ConnectFailed));
+		// The first failure answers all; the openings beside it end a moment later.
+		await vi.waitFor(() => {
+			expect(connections.countConnections(target)).toBe(0);
+		});
+	});
+
+	it('gives a released connection only to a request that accepts its proof of life', async () => {
+		const old = await acquireWell();
+		now += 150;
+		const waiting = acquireWell({maxProofAgeMs: 100});
+		connections.releaseConnection(old);
+		expect(await waiting).not.toBe(old);
+	});
+
 	it('ends the wait with the request and keeps the connection that came late', async () => {
 		const gone = new AbortController();
 		const waiting = acquire({signal: gone.signal});
--- a/src/controllers/connection-controller.ts
+++ b/src/controllers/connection-controller.ts
@@ -7,9 +7,21 @@
 import {openConnection} from '../io/open-connection.js';
 import type {TargetConnection} from '../io/target-connection.js';
 
+type Waiter = {
+	readonly demand: ConnectionDemand;
+	/** Time of the demand, in ms. */
+	readonly since: number;
+	settle(result: Result<TargetConnection, RequestError>): void;
+};
+
 type TargetPool = {
 	readonly idle: TargetConnection[];
+	/** Requests that wait for a connection, first come first served. */
+	readonly waiters: Waiter[];
+	/** Connections open or being opened. */
 	openCount: number;
+	/** Connections being opened. */
+	openingCount: number;
 	/** Share of this instance as of the last demand. */
 	limit: number;
 	/** Idle connections without a proof of life after this time are not used. */
@@ -48,18 +60,11 @@
 /** Time without a byte after which a connection that carries a request is suspect, in ms. */
 const suspectAfterMs = 250;
 const scanIntervalMs = 100;
-
-const waitForAbort = async (signal: AbortSignal): Promise<Result<TargetConnection, RequestError>> => new Promise(resolve => {
-	const settle = () => {
-		resolve(err(signal.reason as RequestError));
-	};
-
-	if (signal.aborted) {
-		settle();
-	} else {
-		signal.addEventListener('abort', settle, {once: true});
-	}
-});
+/**
+Connections that are opened to one target at the same time. Opening costs more processor time than a request: without a
+bound a burst after a quiet time opens one for each request, each slows the others, and more requests find none.
+*/
+const maxOpening = 4;
 
 /** Holds the connections to all targets, within this instance's share of each target's limit. */
 export class ConnectionController implements DisposableLike {
@@ -91,7 +96,7 @@
 			return err(new RequestError(ErrorKind.ConnectionsExhausted, `${pool.openCount} connections to target ${demand.target.id} are in use, limit ${demand.limit}`));
 		}
 
-		return this._openForDemand(pool, demand);
+		return this._waitForConnection(pool, demand);
 	}
 
 	/** Gives a connection back for the next request. */
@@ -102,12 +107,9 @@
 			return;
 		}
 
-		if (pool.openCount > pool.limit) {
-			connection.dispose();
-			return;
-		}
-
-		pool.idle.push(connection);
+		const oldestMs = this._options.clock.now() - connection.lastProofAt;
+		const waiter = connection.lastProofAt > pool.distrustedUntil ? pool.waiters.find(item => oldestMs <= item.demand.maxProofAgeMs) : undefined;
+		this._giveConnection(pool, connection, waiter);
 	}
 
 	/** Connections open or being opened to a target. */
@@ -143,6 +145,9 @@
 	dispose(): void {
 		clearInterval(this._scanTimer);
 		this.dropIdle();
+		for (const waiter of [...this._pools.values()].flatMap(pool => pool.waiters)) {
+			waiter.settle(err(new RequestError(ErrorKind.ShuttingDown, 'the instance is shutting down')));
+		}
 	}
 
 	private _takeIdle(pool: TargetPool, demand: ConnectionDemand): TargetConnection | undefined {
@@ -170,26 +175,65 @@
 		}
 	}
 
-	private async _openForDemand(pool: TargetPool, demand: ConnectionDemand): Promise<Result<TargetConnection, RequestError>> {
-		const opening = this._openConnection(pool, demand);
-		const result = await Promise.race([opening, waitForAbort(demand.signal)]);
-		if (demand.signal.aborted) {
-			void this._keepOpened(pool, opening);
-			return err(demand.signal.reason as RequestError);
+	/** Waits for a connection that is released or opened, whichever comes first. */
+	private async _waitForConnection(pool: TargetPool, demand: ConnectionDemand): Promise<Result<TargetConnection, RequestError>> {
+		return new Promise(resolve => {
+			const abort = () => {
+				waiter.settle(err(demand.signal.reason as RequestError));
+			};
+
+			const waiter: Waiter = {
+				demand,
+				since: this._options.clock.now(),
+				settle(result) {
+					demand.signal.removeEventListener('abort', abort);
+					pool.waiters.splice(pool.waiters.indexOf(waiter), 1);
+					resolve(result);
+				},
+			};
+			demand.signal.addEventListener('abort', abort, {once: true});
+			pool.waiters.push(waiter);
+			this._openMore(pool);
+		});
+	}
+
+	/** Opens a connection for each request that waits, a few at a time and within the share. */
+	private _openMore(pool: TargetPool): void {
+		const wanted = Math.min(maxOpening, pool.waiters.length);
+		for (const {demand} of pool.waiters.slice(pool.openingCount, wanted)) {
+			if (pool.openCount < pool.limit) {
+				void this._openForWaiters(pool, demand);
+			}
 		}
+	}
 
-		if (result.isOk()) {
-			this._uses.set(result.value, {pool, since: this._options.clock.now(), silenceLimitMs: Number.POSITIVE_INFINITY});
+	private async _openForWaiters(pool: TargetPool, demand: ConnectionDemand): Promise<void> {
+		const startedAt = this._options.clock.now();
+		pool.openingCount++;
+		const opened = await this._openConnection(pool, demand);
+		pool.openingCount--;
+		if (opened.isOk()) {
+			this._giveConnection(pool, opened.value, pool.waiters[0]);
+		} else {
+			// Whoever waited all that time would only wait as long again.
+			for (const waiter of pool.waiters.filter(({since}) => since <= startedAt)) {
+				waiter.settle(err(opened.error));
+			}
 		}
 
-		return result;
+		this._openMore(pool);
 	}
 
-	/** A connection that nobody waits for any more serves the next request. */
-	private async _keepOpened(pool: TargetPool, opening: Promise<Result<TargetConnection, RequestError>>): Promise<void> {
-		const opened = await opening;
-		if (opened.isOk() && !opened.value.isClosed) {
-			pool.idle.push(opened.value);
+	/** Hands a connection to a request that waits, or keeps it for the next one. */
+	private _giveConnection(pool: TargetPool, connection: TargetConnection, waiter: Waiter | undefined): void {
+		if (waiter !== undefined) {
+			const silenceLimitMs = connection.requestCount === 0 ? Number.POSITIVE_INFINITY : waiter.demand.silenceLimitMs;
+			this._uses.set(connection, {pool, since: this._options.clock.now(), silenceLimitMs});
+			waiter.settle(ok(connection));
+		} else if (pool.openCount > pool.limit) {
+			connection.dispose();
+		} else {
+			pool.idle.push(connection);
 		}
 	}
 
@@ -218,6 +262,8 @@
 		if (index !== -1) {
 			pool.idle.splice(index, 1);
 		}
+
+		this._openMore(pool);
 	}
 
 	private _getPool(target: TargetSpec): TargetPool {
@@ -225,7 +271,7 @@
 		let pool = this._pools.get(key);
 		if (pool === undefined) {
 			pool = {
-				idle: [], openCount: 0, limit: 0, distrustedUntil: Number.NEGATIVE_INFINITY,
+				idle: [], waiters: [], openCount: 0, openingCount: 0, limit: 0, distrustedUntil: Number.NEGATIVE_INFINITY,
 			};
 			this._pools.set(key, pool);
 		}
