Name the age of a connection's proof of life for what it is

Cause: the variable was called oldestMs and the doc comment of acquireConnection did not tell of the wait. Change: proofAgeMs, and a comment that says that a request may wait for a released connection. No behaviour changed. Before and after: the 10 tests of the file pass; types and linter are clean. Conclusion: names only.

--- a/src/controllers/connection-controller.ts
+++ b/src/controllers/connection-controller.ts
@@ -78,7 +78,7 @@
 		}, scanIntervalMs).unref();
 	}
 
-	/** Takes an idle connection or opens one; an error proves that nothing was sent. */
+	/** Takes an idle connection, or waits for one that is released or opened; an error proves that nothing was sent. */
 	async acquireConnection(demand: ConnectionDemand): Promise<Result<TargetConnection, RequestError>> {
 		if (demand.signal.aborted) {
 			return err(demand.signal.reason as RequestError);
@@ -107,8 +107,8 @@
 			return;
 		}
 
-		const oldestMs = this._options.clock.now() - connection.lastProofAt;
-		const waiter = connection.lastProofAt > pool.distrustedUntil ? pool.waiters.find(item => oldestMs <= item.demand.maxProofAgeMs) : undefined;
+		const proofAgeMs = this._options.clock.now() - connection.lastProofAt;
+		const waiter = connection.lastProofAt > pool.distrustedUntil ? pool.waiters.find(item => proofAgeMs <= item.demand.maxProofAgeMs) : undefined;
 		this._giveConnection(pool, connection, waiter);
 	}
 
