--- /dev/null
+++ b/src/bin/gateway-daemon.ts
@@ -0,0 +1,220 @@
+import {Buffer} from 'node:buffer';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {err, ok, type Result} from 'neverthrow';
+import {createHTTPHandler} from '@trpc/server/adapters/standalone';
+import type {DisposableLike} from '../common/disposable-like.js';
+import {DisposableStore} from '../common/disposable-store.js';
+import type {GatewaySettings} from '../common/gateway/gateway-settings.js';
+import type {SiteInterface} from '../common/gateway/site-interface.js';
+import type {WholeAnswer} from '../common/gateway/whole-answer.js';
+import type {Logger} from '../common/logger.js';
+import {EntryController} from '../controllers/gateway/entry-controller.js';
+import {MemberController} from '../controllers/gateway/member-controller.js';
+import {PlacementController} from '../controllers/gateway/placement-controller.js';
+import {SiteView} from '../controllers/gateway/site-view.js';
+import {SourceReader} from '../controllers/gateway/source-reader.js';
+import {ShutdownController} from '../controllers/shutdown-controller.js';
+import {FilterChain} from '../filters/filter-chain.js';
+import {AttemptRunner} from '../filters/gateway/attempt-runner.js';
+import {BodyFilter} from '../filters/gateway/body-filter.js';
+import {GatewayContext} from '../filters/gateway/gateway-context.js';
+import {RepeatFilter} from '../filters/gateway/repeat-filter.js';
+import {RouteFilter} from '../filters/gateway/route-filter.js';
+import {SendAnswerFilter} from '../filters/gateway/send-answer-filter.js';
+import {TimeLimitFilter} from '../filters/gateway/time-limit-filter.js';
+import {OutcomeFilter} from '../filters/outcome-filter.js';
+import {ShutdownFilter} from '../filters/shutdown-filter.js';
+import {createSyncRouter} from '../io/gateway/create-sync-router.js';
+import {parseAddress} from '../io/gateway/parse-address.js';
+import {SyncClient} from '../io/gateway/sync-client.js';
+import {HttpListener} from '../io/http-listener.js';
+import {systemClock} from '../io/system-clock.js';
+
+type GatewayDaemonOptions = {
+	readonly settings: GatewaySettings;
+	readonly site: SiteInterface;
+	readonly logger: Logger;
+};
+
+/** Time before the end of a planned stop at which requests that are still in flight are ended, in ms. */
+const stopReserveMs = 300;
+/** Time for which callers may still come with an older answer after a stop was announced, in ms: three lifetimes of an answer. */
+const keptAnswersMs = 3000;
+/** Time between two checks whether this instance can serve, in ms. */
+const readinessIntervalMs = 50;
+
+/** One gateway instance: all listeners, controllers and filters, wired together. */
+export class GatewayDaemon implements DisposableLike {
+	private readonly _store = new DisposableStore();
+	private readonly _view: SiteView;
+	private readonly _members: MemberController;
+	private readonly _reader: SourceReader;
+	private readonly _entries: EntryController;
+	private readonly _shutdown: ShutdownController;
+	private readonly _chain: FilterChain<GatewayContext, WholeAnswer>;
+	private readonly _dataListener: HttpListener;
+	private readonly _readinessListener: HttpListener;
+	private readonly _routeListener: HttpListener;
+	private readonly _peerListener: HttpListener;
+	private _isStopping = false;
+	private _isServing = false;
+
+	constructor(private readonly _options: GatewayDaemonOptions) {
+		const {settings, logger, site} = _options;
+		this._view = this._store.add(new SiteView({clock: systemClock, logger}));
+		this._members = this._store.add(new MemberController({
+			self: {
+				id: settings.instance.id,
+				failureDomain: settings.instance.failureDomain,
+				dataAddress: settings.listeners.data,
+				peerAddress: settings.listeners.peer,
+				incarnation: Date.now(),
+			},
+			seeds: settings.seeds,
+			client: this._store.add(new SyncClient()),
+			view: this._view,
+			clock: systemClock,
+			logger,
+			random: Math.random,
+		}));
+		this._reader = this._store.add(new SourceReader({
+			source: site.source, view: this._view, logger, random: Math.random, isReader: () => this._members.isHub,
+		}));
+		this._entries = new EntryController({members: this._members, view: this._view, failureDomain: settings.instance.failureDomain});
+		this._shutdown = this._store.add(this._createShutdown());
+		this._chain = this._createChain();
+		this._dataListener = this._store.add(this._createDataListener());
+		this._readinessListener = this._store.add(new HttpListener({}, (request, response) => {
+			this._answerReadiness(request, response);
+		}));
+		this._routeListener = this._store.add(new HttpListener({}, (request, response) => {
+			this._answerQuestion(request, response);
+		}));
+		const handler = createHTTPHandler({router: createSyncRouter(message => this._members.handleMessage(message))});
+		this._peerListener = this._store.add(new HttpListener({keepAliveTimeout: 30_000}, (request, response) => {
+			handler(request, response);
+		}));
+	}
+
+	/** Opens the listeners and begins to learn configuration, targets and peers; an error names the address that failed. */
+	async start(): Promise<Result<void, Error>> {
+		const {listeners} = this._options.settings;
+		const results = await Promise.all([
+			this._dataListener.listen(parseAddress(listeners.data)),
+			this._readinessListener.listen(parseAddress(listeners.readiness)),
+			this._routeListener.listen(parseAddress(listeners.route)),
+			this._peerListener.listen(parseAddress(listeners.peer)),
+		]);
+		const failed = results.find(result => result.isErr());
+		if (failed?.isErr()) {
+			return err(failed.error);
+		}
+
+		this._reader.start();
+		this._members.start();
+		const timer = setInterval(() => {
+			this._updateServing();
+		}, readinessIntervalMs);
+		this._store.add({
+			dispose() {
+				clearInterval(timer);
+			},
+		});
+		this._options.logger.logInfo('gateway-started', {listeners, filters: this._chain.names});
+		return ok();
+	}
+
+	/** Begins a planned stop. */
+	handleSignal(): void {
+		if (!this._isStopping) {
+			this._shutdown.handleSignal();
+		}
+	}
+
+	/** Resolves at the end of a planned stop with the number of requests that it cut. */
+	async waitUntilStopped(): Promise<number> {
+		return this._shutdown.waitUntilEnded();
+	}
+
+	dispose(): void {
+		this._store.dispose();
+	}
+
+	private _createShutdown(): ShutdownController {
+		const limitMs = this._options.settings.limits.stopMs - stopReserveMs;
+		return new ShutdownController({
+			announceLeaving: () => {
+				this._isStopping = true;
+				this._updateServing();
+			},
+			closeIdle: () => {
+				const {server} = this._dataListener;
+				server.close();
+				server.closeIdleConnections();
+			},
+			servingMs: Math.min(keptAnswersMs, limitMs / 2),
+			limitMs,
+			logger: this._options.logger,
+		});
+	}
+
+	private _createChain(): FilterChain<GatewayContext, WholeAnswer> {
+		const {settings, site} = this._options;
+		const placement = this._store.add(new PlacementController({
+			settings, view: this._view, headers: site.headers, clock: systemClock, random: Math.random,
+		}));
+		return new FilterChain<GatewayContext, WholeAnswer>([
+			new ShutdownFilter(this._shutdown),
+			new SendAnswerFilter(),
+			new OutcomeFilter(),
+			new RouteFilter(this._view),
+			new TimeLimitFilter({clock: systemClock, timeoutHeader: site.headers.timeoutMs}),
+			new BodyFilter(this._view),
+			new RepeatFilter({placement, clock: systemClock, runner: new AttemptRunner({headers: site.headers, clock: systemClock})}),
+		]);
+	}
+
+	private _createDataListener(): HttpListener {
+		const {headers} = this._options.site;
+		const listener = new HttpListener({noDelay: true, requireHostHeader: false}, (request, response) => {
+			const id = request.headers[headers.requestId];
+			void this._chain.run(new GatewayContext(request, response, systemClock.now(), typeof id === 'string' ? id : undefined));
+		});
+		this._store.add(this._view.onConfiguration(({limits}) => {
+			const {server} = listener;
+			server.keepAliveTimeout = limits.idleTimeoutMs;
+			server.headersTimeout = limits.headersTimeoutMs;
+		}));
+		return listener;
+	}
+
+	private _updateServing(): void {
+		const isServing = this._view.isComplete && !this._isStopping;
+		if (isServing !== this._isServing) {
+			this._isServing = isServing;
+			this._members.setServing(isServing);
+			void this._members.announce();
+		}
+	}
+
+	private _answerReadiness(request: IncomingMessage, response: ServerResponse): void {
+		const isAsked = request.url?.split('?', 1)[0] === this._options.site.readinessPath;
+		response.writeHead(isAsked ? (this._isServing ? 200 : 503) : 404, {'content-length': 0});
+		response.end();
+	}
+
+	private _answerQuestion(request: IncomingMessage, response: ServerResponse): void {
+		const {site} = this._options;
+		const question = site.parseQuestion(request.url ?? '/');
+		const answer = question === undefined ? undefined : this._entries.answer(question);
+		if (answer === undefined || answer.addresses.length === 0) {
+			response.writeHead(question === undefined ? 404 : 503, {'content-length': 0});
+			response.end();
+			return;
+		}
+
+		const body = site.formatAnswer(answer);
+		response.writeHead(200, {'content-type': 'application/json', 'content-length': Buffer.byteLength(body)});
+		response.end(body);
+	}
+}
--- a/src/common/create-problem.ts
+++ b/src/common/create-problem.ts
@@ -4,7 +4,7 @@
 
 type Problem = {
 	readonly status: number;
-	readonly headers: Readonly<Record<string, string>>;
+	readonly headers: Record<string, string>;
 	/** Problem document (RFC 9457) as JSON. */
 	readonly body: string;
 };
--- a/src/common/error-answers.ts
+++ b/src/common/error-answers.ts
@@ -25,6 +25,9 @@
 	[ErrorKind.UnknownService]: {
 		status: 404, title: 'No such service', outcome: Outcome.NotRun, retryAfterSeconds: undefined,
 	},
+	[ErrorKind.NotConfigured]: {
+		status: 503, title: 'No configuration has been read yet', outcome: Outcome.NotRun, retryAfterSeconds: 1,
+	},
 	[ErrorKind.MethodNotAllowed]: {
 		status: 405, title: 'The method is not supported', outcome: Outcome.NotRun, retryAfterSeconds: undefined,
 	},
--- a/src/common/error-kind.ts
+++ b/src/common/error-kind.ts
@@ -7,6 +7,7 @@
 	RequestTooSlow = 'request-too-slow',
 	RequestTooSlowDispatched = 'request-too-slow-dispatched',
 	UnknownService = 'unknown-service',
+	NotConfigured = 'not-configured',
 	MethodNotAllowed = 'method-not-allowed',
 	DeadlineUnreachable = 'deadline-unreachable',
 	DeadlineExpiredQueued = 'deadline-expired-queued',
--- /dev/null
+++ b/src/common/gateway/gateway-settings.ts
@@ -0,0 +1,33 @@
+/** Settings of one gateway process. */
+export type GatewaySettings = {
+	readonly instance: {
+		readonly id: string;
+		readonly failureDomain: string;
+		readonly region: string;
+	};
+	/** Addresses to listen on, as host:port. */
+	readonly listeners: {
+		readonly data: string;
+		readonly readiness: string;
+		readonly peer: string;
+		readonly route: string;
+	};
+	/** Peer addresses of instances to find the fleet by, as host:port; some may be stale. */
+	readonly seeds: readonly string[];
+	/** Address of the site's registry, as host:port. */
+	readonly registry: string;
+	readonly limits: {
+		/** Time from the signal of a planned stop to the end of the process, in ms. */
+		readonly stopMs: number;
+		/** Time by which a leaving target gets no more requests, in ms. */
+		readonly drainMs: number;
+		/** Repeated requests allowed as a share of first ones, for the whole fleet. */
+		readonly retryRatio: number;
+		/** Repeated requests allowed besides, for the whole fleet, in one window. */
+		readonly retrySlack: number;
+		/** Length of the sliding window of the retry budget, in ms. */
+		readonly retryWindowMs: number;
+		/** Health checks that all instances together may send to one target, a second. */
+		readonly probesPerTargetPerSecond: number;
+	};
+};
--- /dev/null
+++ b/src/common/gateway/site-source.ts
@@ -0,0 +1,14 @@
+import type {Result} from 'neverthrow';
+import type {GatewayConfiguration} from './gateway-configuration.js';
+import type {SourceError} from './source-error.js';
+import type {TargetList} from './target-list.js';
+
+/** Where a gateway learns the configuration and the targets of its site; nothing is written there. */
+export type SiteSource = {
+	/** Reads the newest configuration; undefined while there is none. */
+	readConfiguration(): Promise<Result<GatewayConfiguration | undefined, SourceError>>;
+	/** Resolves when the configuration may have changed since the last read or wait, or after the longest wait. */
+	waitForChange(): Promise<Result<void, SourceError>>;
+	/** Reads the list of targets, which may lag behind by less than a second. */
+	readTargets(): Promise<Result<TargetList, SourceError>>;
+};
--- /dev/null
+++ b/src/controllers/gateway/member-controller.ts
@@ -0,0 +1,201 @@
+import type {Clock} from '../../common/clock.js';
+import type {DisposableLike} from '../../common/disposable-like.js';
+import type {GatewayMember} from '../../common/gateway/gateway-member.js';
+import type {SyncMessage} from '../../common/gateway/sync-message.js';
+import type {Logger} from '../../common/logger.js';
+import type {SyncClient} from '../../io/gateway/sync-client.js';
+import {MemberTable} from '../../policy/gateway/member-table.js';
+import type {SiteView} from './site-view.js';
+
+type MemberControllerOptions = {
+	readonly self: Omit<GatewayMember, 'counter' | 'isServing'>;
+	readonly seeds: readonly string[];
+	readonly client: Pick<SyncClient, 'exchange'>;
+	readonly view: SiteView;
+	readonly clock: Clock;
+	readonly logger: Logger;
+	readonly random: () => number;
+};
+
+/** Time between two rounds, in ms. */
+const roundMs = 250;
+/** Rounds between two exchanges with another failure domain; bytes between domains are dear. */
+const remoteEvery = 10;
+/** Rounds after the start in which the seeds are asked every time. */
+const seedRounds = 20;
+/** Silence after which an instance of the same failure domain counts as lost, in ms: three rounds. */
+const localLiveMs = 900;
+/** Silence after which an instance of another failure domain counts as lost, in ms: two exchanges. */
+const remoteLiveMs = 6000;
+/** Silence after which an instance is forgotten, in ms. */
+const forgetMs = 60_000;
+
+/**
+Knows the instances of the fleet. In each failure domain all exchange messages with the one of the lowest id, the hub, and
+the hubs with each other; whoever does not answer is passed over, so that the next lowest takes its place.
+*/
+export class MemberController implements DisposableLike {
+	private readonly _table = new MemberTable();
+	private readonly _peerViews = new Map<string, SyncMessage['view']>();
+	private _self: GatewayMember;
+	private _round = 0;
+	private _timer: NodeJS.Timeout | undefined;
+
+	constructor(private readonly _options: MemberControllerOptions) {
+		this._self = {..._options.self, counter: 0, isServing: false};
+	}
+
+	/** Whether this instance reads the registry for its failure domain. */
+	get isHub(): boolean {
+		return this._findHub(this._self.failureDomain)?.id === this._self.id;
+	}
+
+	/** Starts the rounds. */
+	start(): void {
+		void this._runRound();
+		this._timer = setInterval(() => {
+			void this._runRound();
+		}, roundMs);
+	}
+
+	/** Says whether this instance takes callers. */
+	setServing(isServing: boolean): void {
+		this._self = {...this._self, counter: this._self.counter + 1, isServing};
+	}
+
+	/** Tells the other instances of the failure domain at once what has changed. */
+	async announce(): Promise<void> {
+		await Promise.all(this._listLocal().filter(member => member.id !== this._self.id).map(async member => this._exchange(member.peerAddress, member)));
+	}
+
+	/** Lists instances that take callers: those of the failure domain, or all when it has none. */
+	listServing(failureDomain: string): GatewayMember[] {
+		const serving = this.listLive().filter(member => member.isServing);
+		const local = serving.filter(member => member.failureDomain === failureDomain);
+		return local.length > 0 ? local : serving;
+	}
+
+	/** Lists all instances that count as running, this one included. */
+	listLive(): GatewayMember[] {
+		const now = this._options.clock.now();
+		const others = this._table.listLive(now, remoteLiveMs).filter(member => member.failureDomain !== this._self.failureDomain);
+		return [...this._listLocal(), ...others];
+	}
+
+	/** Takes a peer's message and returns this instance's own. */
+	handleMessage(message: SyncMessage): SyncMessage {
+		this._accept(message);
+		const sender = message.members.find(member => member.id === message.from);
+		return this._createMessage(message.from, sender?.failureDomain);
+	}
+
+	dispose(): void {
+		clearInterval(this._timer);
+	}
+
+	private _listLocal(): GatewayMember[] {
+		const local = this._table.listLive(this._options.clock.now(), localLiveMs)
+			.filter(member => member.failureDomain === this._self.failureDomain && member.id !== this._self.id);
+		return [this._self, ...local];
+	}
+
+	private _findHub(failureDomain: string): GatewayMember | undefined {
+		const members = failureDomain === this._self.failureDomain
+			? this._listLocal()
+			: this._table.listLive(this._options.clock.now(), remoteLiveMs).filter(member => member.failureDomain === failureDomain);
+		let hub: GatewayMember | undefined;
+		for (const member of members) {
+			if (hub === undefined || member.id < hub.id) {
+				hub = member;
+			}
+		}
+
+		return hub;
+	}
+
+	private async _runRound(): Promise<void> {
+		this._round++;
+		this._self = {...this._self, counter: this._self.counter + 1};
+		const hub = this._findHub(this._self.failureDomain);
+		const exchanges: Array<Promise<void>> = [];
+		if (hub !== undefined && hub.id !== this._self.id) {
+			exchanges.push(this._exchange(hub.peerAddress, hub));
+		}
+
+		if (hub?.id === this._self.id && this._round % remoteEvery === 0) {
+			exchanges.push(...this._exchangeWithHubs());
+		}
+
+		const isAlone = this._listLocal().length === 1;
+		if (this._round < seedRounds || (isAlone && this._round % 4 === 0) || this._round % (remoteEvery * 4) === 0) {
+			exchanges.push(this._askSeed());
+		}
+
+		await Promise.all(exchanges);
+		this._table.dropSilent(this._options.clock.now(), forgetMs);
+	}
+
+	private _exchangeWithHubs(): Array<Promise<void>> {
+		const domains = new Set(this._table.members.map(member => member.failureDomain));
+		domains.delete(this._self.failureDomain);
+		return [...domains].flatMap(domain => {
+			const hub = this._findHub(domain);
+			return hub === undefined ? [] : [this._exchange(hub.peerAddress, hub)];
+		});
+	}
+
+	private async _askSeed(): Promise<void> {
+		const others = this._options.seeds.filter(seed => seed !== this._self.peerAddress);
+		const seed = others[this._round % others.length];
+		if (seed !== undefined) {
+			await this._exchange(seed, undefined);
+		}
+	}
+
+	private async _exchange(peerAddress: string, peer: GatewayMember | undefined): Promise<void> {
+		const answered = await this._options.client.exchange(peerAddress, this._createMessage(peer?.id, peer?.failureDomain));
+		if (answered.isOk()) {
+			this._accept(answered.value);
+		} else if (peer !== undefined) {
+			this._table.markSuspect(peer.id);
+			this._options.logger.logInfo('peer-silent', {peer: peer.id, detail: answered.error.message});
+		}
+	}
+
+	private _accept(message: SyncMessage): void {
+		const {view, clock} = this._options;
+		const now = clock.now();
+		for (const member of message.members) {
+			if (member.id !== this._self.id) {
+				this._table.offer(member, now);
+			}
+		}
+
+		this._peerViews.set(message.from, message.view);
+		if (message.configuration !== undefined) {
+			view.offerConfiguration(message.configuration);
+		}
+
+		if (message.targets !== undefined) {
+			view.offerPeerTargets(message.view, message.targets);
+		} else if (message.view.listContent > 0 && message.view.listContent === view.version.listContent) {
+			view.confirmTargets(message.view.listConfirmed, message.view.listAgeMs);
+		}
+	}
+
+	private _createMessage(peerId: string | undefined, failureDomain: string | undefined): SyncMessage {
+		const {view} = this._options;
+		const {version} = view;
+		const known = peerId === undefined ? undefined : this._peerViews.get(peerId);
+		const isLocal = failureDomain === this._self.failureDomain || failureDomain === undefined;
+		const sendsConfiguration = known !== undefined && version.configuration > known.configuration;
+		const sendsTargets = known !== undefined && version.listConfirmed > known.listConfirmed && version.listContent !== known.listContent;
+		return {
+			from: this._self.id,
+			members: isLocal ? this.listLive() : this._listLocal(),
+			view: version,
+			...(sendsConfiguration && {configuration: view.configuration}),
+			...(sendsTargets && {targets: view.targets}),
+		};
+	}
+}
--- /dev/null
+++ b/src/controllers/gateway/placement-controller.ts
@@ -0,0 +1,104 @@
+import {err, type Result} from 'neverthrow';
+import type {Clock} from '../../common/clock.js';
+import type {DisposableLike} from '../../common/disposable-like.js';
+import {ErrorKind} from '../../common/error-kind.js';
+import type {GatewayService} from '../../common/gateway/gateway-service.js';
+import type {GatewaySettings} from '../../common/gateway/gateway-settings.js';
+import type {HeaderVocabulary} from '../../common/gateway/header-vocabulary.js';
+import {RequestError} from '../../common/request-error.js';
+import {RetryAllowance} from '../../policy/gateway/retry-allowance.js';
+import type {PlacementDemand} from './placement-demand.js';
+import {ServicePlacer} from './service-placer.js';
+import type {SiteView} from './site-view.js';
+import type {TargetLease} from './target-lease.js';
+import {TargetProber} from './target-prober.js';
+
+type PlacementControllerOptions = {
+	readonly settings: GatewaySettings;
+	readonly view: SiteView;
+	readonly headers: HeaderVocabulary;
+	readonly clock: Clock;
+	readonly random: () => number;
+};
+
+type ServiceState = {readonly placer: ServicePlacer; readonly retries: RetryAllowance};
+
+/** Instances for which a share of a bound is kept free, running or added; sites of this kind have up to 22. */
+const maxInstances = 24;
+/** Share of the fleet's bounds that is used, which leaves room for what is in flight when instances change. */
+const usedShare = 0.8;
+
+/** Holds what belongs to each service: places at targets and the budget of repeated requests. */
+export class PlacementController implements DisposableLike {
+	private readonly _services = new Map<string, ServiceState>();
+
+	constructor(private readonly _options: PlacementControllerOptions) {
+		_options.view.onConfiguration(() => {
+			this._update();
+		});
+		_options.view.onTargets(() => {
+			this._update();
+		});
+	}
+
+	/** Waits for a place at a target of the service. */
+	async acquire(demand: PlacementDemand): Promise<Result<TargetLease, RequestError>> {
+		const placer = this._services.get(demand.service)?.placer;
+		return placer === undefined ? err(new RequestError(ErrorKind.NoTarget, `service "${demand.service}" has no target`, 250)) : placer.acquire(demand);
+	}
+
+	/** Takes a place at an idle target, if there is one at once. */
+	async tryAcquire(demand: PlacementDemand): Promise<TargetLease | undefined> {
+		return this._services.get(demand.service)?.placer.tryAcquire(demand);
+	}
+
+	/** Counts a first request against which repeats are allowed. */
+	addRequest(service: string): void {
+		this._services.get(service)?.retries.addRequest(this._options.clock.now());
+	}
+
+	/** Takes a repeat from the service's budget; false when it is used up. */
+	tryTakeRepeat(service: string): boolean {
+		return this._services.get(service)?.retries.tryTake(this._options.clock.now()) ?? false;
+	}
+
+	dispose(): void {
+		for (const {placer} of this._services.values()) {
+			placer.dispose();
+		}
+	}
+
+	private _update(): void {
+		const {view} = this._options;
+		const services = new Map((view.configuration?.services ?? []).map(service => [service.name, service]));
+		for (const [name, {placer}] of this._services) {
+			if (!services.has(name)) {
+				this._services.delete(name);
+				placer.dispose();
+			}
+		}
+
+		for (const service of services.values()) {
+			const state = this._services.get(service.name) ?? this._createService(service);
+			this._services.set(service.name, state);
+			state.placer.updateTargets(view.targets.filter(target => target.service === service.name));
+		}
+	}
+
+	private _createService(service: GatewayService): ServiceState {
+		const {settings, headers, clock, random} = this._options;
+		const {limits, instance} = settings;
+		return {
+			placer: new ServicePlacer({
+				service,
+				failureDomain: instance.failureDomain,
+				clock,
+				random,
+				prober: new TargetProber(headers),
+				maxConnections: Math.max(2, Math.floor((service.connectionsPerTarget * usedShare) / maxInstances)),
+				probesPerSecond: limits.probesPerTargetPerSecond * usedShare,
+			}),
+			retries: new RetryAllowance({ratio: limits.retryRatio * usedShare, slack: (limits.retrySlack * usedShare) / maxInstances, windowMs: limits.retryWindowMs}),
+		};
+	}
+}
--- /dev/null
+++ b/src/controllers/gateway/service-placer.ts
@@ -0,0 +1,343 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import {err, ok, type Result} from 'neverthrow';
+import type {Clock} from '../../common/clock.js';
+import type {DisposableLike} from '../../common/disposable-like.js';
+import {ErrorKind} from '../../common/error-kind.js';
+import {AttemptEnd} from '../../common/gateway/attempt-end.js';
+import type {GatewayService} from '../../common/gateway/gateway-service.js';
+import type {GatewayTarget} from '../../common/gateway/gateway-target.js';
+import {RequestError} from '../../common/request-error.js';
+import {TargetClient} from '../../io/gateway/target-client.js';
+import {estimateDuration} from '../../policy/gateway/estimate-duration.js';
+import {RateBudget} from '../../policy/gateway/rate-budget.js';
+import {TargetRecord} from '../../policy/gateway/target-record.js';
+import type {PlacementDemand} from './placement-demand.js';
+import type {TargetLease} from './target-lease.js';
+import type {TargetProber} from './target-prober.js';
+
+type ServicePlacerOptions = {
+	readonly service: GatewayService;
+	readonly failureDomain: string;
+	readonly clock: Clock;
+	readonly random: () => number;
+	readonly prober: TargetProber;
+	/** Connections that this instance may hold to one target. */
+	readonly maxConnections: number;
+	/** Probes that this instance may send to one target, a second. */
+	readonly probesPerSecond: number;
+};
+
+type Place = {readonly record: TargetRecord; readonly client: TargetClient; readonly probes: RateBudget};
+type Waiter = {
+	readonly demand: PlacementDemand;
+	settle(result: Result<TargetLease, RequestError>): void;
+	isSettled: boolean;
+};
+type Choice = {readonly place: Place; readonly estimateMs: number; readonly isFree: boolean};
+
+/** Targets that are asked for their load when a request is placed. */
+const maxCandidates = 9;
+/** Time for which answers of probes are awaited, in ms: two round trips across failure domains, with the targets' own time. */
+const probeWaitMs = 8;
+/** Age up to which a report is as good as a probe, in ms. */
+const freshMs = 5;
+/** Time after which requests that found no free target look again, in ms, if nothing is released before. */
+const lookAgainMs = 25;
+/** Weight of the newest answer in the usual duration. */
+const usualWeight = 0.05;
+/** Requests that wait here, per slot of the service, before more are refused. */
+const queuePerSlot = 1.5;
+/** Share of the time left that a wait for a place may take before the request is refused. */
+const refusalWaitMs = 250;
+
+/** Places the requests of one service: asks a few targets for their load, takes the best, and holds requests while all are busy. */
+export class ServicePlacer implements DisposableLike {
+	private readonly _places = new Map<string, Place>();
+	private readonly _waiters: Waiter[] = [];
+	private _placingCount = 0;
+	private _usualMs: number;
+	/** Undefined until an answer shows whether the service's targets report their load. */
+	private _reportsLoad: boolean | undefined;
+	private _timer: NodeJS.Timeout | undefined;
+
+	constructor(private readonly _options: ServicePlacerOptions) {
+		this._usualMs = 200;
+	}
+
+	/** Requests that wait for a place. */
+	get waitingCount(): number {
+		return this._waiters.length;
+	}
+
+	/** Takes the service's targets from the newest list; requests in flight at others go on. */
+	updateTargets(targets: readonly GatewayTarget[]): void {
+		const {clock, maxConnections, probesPerSecond} = this._options;
+		const listed = new Map(targets.filter(target => !target.isLeaving).map(target => [`${target.id} ${target.startedAt}`, target]));
+		for (const [key, place] of this._places) {
+			const target = listed.get(key);
+			if (target === undefined || target.host !== place.record.target.host || target.port !== place.record.target.port) {
+				this._places.delete(key);
+				this._disposeWhenIdle(place);
+			}
+		}
+
+		for (const [key, target] of listed) {
+			if (!this._places.has(key)) {
+				this._places.set(key, {
+					record: new TargetRecord(target, clock.now()),
+					client: new TargetClient({host: target.host, port: target.port, maxConnections}),
+					probes: new RateBudget(probesPerSecond, clock.now()),
+				});
+			}
+		}
+
+		this._pump();
+	}
+
+	/** Waits for a place at a target; refuses with an error whose outcome is not run. */
+	async acquire(demand: PlacementDemand): Promise<Result<TargetLease, RequestError>> {
+		if (this._places.size === 0) {
+			return err(new RequestError(ErrorKind.NoTarget, `service "${demand.service}" has no target`, refusalWaitMs));
+		}
+
+		if (this._waiters.length >= Math.ceil(this._countSlots() * queuePerSlot)) {
+			return err(new RequestError(ErrorKind.QueueFull, `${this._waiters.length} requests of service "${demand.service}" wait already`, refusalWaitMs));
+		}
+
+		return new Promise(resolve => {
+			const waiter: Waiter = {
+				demand,
+				isSettled: false,
+				settle(result) {
+					if (!waiter.isSettled) {
+						waiter.isSettled = true;
+						resolve(result);
+					}
+				},
+			};
+			demand.signal.addEventListener('abort', () => {
+				waiter.settle(err(demand.signal.reason as RequestError));
+			}, {once: true});
+			this._enqueue(waiter);
+			this._pump();
+		});
+	}
+
+	/** Takes a place at once if a target is idle enough; used for hedges. */
+	async tryAcquire(demand: PlacementDemand): Promise<TargetLease | undefined> {
+		if (this._waiters.length > 0) {
+			return undefined;
+		}
+
+		const choice = await this._choose(demand);
+		return choice?.isFree ? this._grant(choice.place) : undefined;
+	}
+
+	dispose(): void {
+		clearTimeout(this._timer);
+		for (const place of this._places.values()) {
+			this._disposeWhenIdle(place);
+		}
+
+		this._places.clear();
+	}
+
+	private _countSlots(): number {
+		let slots = 0;
+		for (const {record} of this._places.values()) {
+			slots += record.target.slots;
+		}
+
+		return slots;
+	}
+
+	private _enqueue(waiter: Waiter): void {
+		const {demand} = waiter;
+		const index = this._waiters.findIndex(({demand: other}) => other.priority > demand.priority
+			|| (other.priority === demand.priority && other.objectiveAt > demand.objectiveAt));
+		this._waiters.splice(index === -1 ? this._waiters.length : index, 0, waiter);
+	}
+
+	private _pump(): void {
+		while (this._waiters.length > 0 && this._placingCount < this._countFree()) {
+			const waiter = this._waiters.shift();
+			if (waiter !== undefined && !waiter.isSettled) {
+				void this._place(waiter);
+			}
+		}
+
+		if (this._waiters.length > 0 && this._timer === undefined) {
+			this._timer = setTimeout(() => {
+				this._timer = undefined;
+				this._pump();
+			}, lookAgainMs);
+		}
+	}
+
+	/** Places that this instance's own requests leave free. */
+	private _countFree(): number {
+		const now = this._options.clock.now();
+		let free = 0;
+		for (const {record} of this._places.values()) {
+			if (!record.isBlocked(now)) {
+				free += Math.max(0, record.target.slots - record.inFlight);
+			}
+		}
+
+		// With every target blocked, one request at a time finds out whether they are back.
+		return Math.max(1, free);
+	}
+
+	private async _place(waiter: Waiter): Promise<void> {
+		this._placingCount++;
+		const choice = await this._choose(waiter.demand);
+		this._placingCount--;
+		if (waiter.isSettled) {
+			this._pump();
+			return;
+		}
+
+		if (choice?.isFree) {
+			waiter.settle(ok(this._grant(choice.place)));
+			this._pump();
+			return;
+		}
+
+		this._enqueue(waiter);
+		this._waitToLookAgain();
+	}
+
+	private _waitToLookAgain(): void {
+		this._timer ??= setTimeout(() => {
+			this._timer = undefined;
+			this._pump();
+		}, lookAgainMs);
+	}
+
+	private async _choose(demand: PlacementDemand): Promise<Choice | undefined> {
+		const candidates = this._listCandidates(demand);
+		if (this._reportsLoad !== false) {
+			await this._probe(candidates);
+		}
+
+		const now = this._options.clock.now();
+		let best: Choice | undefined;
+		for (const place of candidates) {
+			const choice = this._rate(place, now);
+			if (choice !== undefined && (best === undefined || Number(choice.isFree) > Number(best.isFree)
+				|| (choice.isFree === best.isFree && choice.estimateMs < best.estimateMs))) {
+				best = choice;
+			}
+		}
+
+		return best;
+	}
+
+	private _listCandidates({excludedTargets}: PlacementDemand): Place[] {
+		const {clock, failureDomain, random} = this._options;
+		const now = clock.now();
+		const all = [...this._places.values()].filter(({record}) => !excludedTargets.includes(record.target.id));
+		const open = all.filter(({record}) => !record.isBlocked(now));
+		const free = open.filter(({record}) => record.inFlight < record.target.slots);
+		const found = free.length > 0 ? free : (open.length > 0 ? [] : all);
+		return found
+			.map(place => ({place, rank: place.record.inFlight + (place.record.target.failureDomain === failureDomain ? 0 : 0.5) + random()}))
+			.sort((a, b) => a.rank - b.rank)
+			.slice(0, maxCandidates)
+			.map(({place}) => place);
+	}
+
+	private async _probe(candidates: readonly Place[]): Promise<void> {
+		const {clock, prober, service} = this._options;
+		const now = clock.now();
+		const probes = candidates.filter(({record, probes}) => (record.getLoad(now)?.ageMs ?? Number.POSITIVE_INFINITY) > freshMs && probes.tryTake(now)).map(async place => {
+			const {record, client} = place;
+			const probe = await prober.probe(client, service.healthPath, `${record.target.host}:${record.target.port}`);
+			const answeredAt = clock.now();
+			if (probe === undefined) {
+				record.recordSilence(answeredAt);
+			} else if (probe.targetId !== undefined && probe.targetId !== record.target.id) {
+				record.recordEnd(AttemptEnd.Misdirected, answeredAt);
+			} else if (probe.load !== undefined) {
+				this._reportsLoad = true;
+				record.recordLoad(probe.load, answeredAt);
+			} else if (probe.isHealthy) {
+				this._reportsLoad ??= false;
+			} else {
+				record.recordSilence(answeredAt);
+			}
+		});
+		if (probes.length > 0) {
+			await Promise.race([Promise.all(probes), sleep(probeWaitMs)]);
+		}
+	}
+
+	private _rate(place: Place, now: number): Choice | undefined {
+		const {record} = place;
+		const {slots} = record.target;
+		if (record.isBlocked(now) && this._places.size > 1 && record.getLoad(now) === undefined) {
+			return undefined;
+		}
+
+		const reported = record.getLoad(now);
+		const isFresh = reported !== undefined && reported.ageMs <= probeWaitMs + freshMs;
+		const load = isFresh
+			? reported.load
+			: {
+				running: record.inFlight, waiting: 0, slots, slowdown: reported === undefined ? 1.5 : 2,
+			};
+		const estimateMs = estimateDuration({
+			load, inFlight: record.inFlight, usualMs: this._usualMs, isWarming: record.isWarming(now), slowness: record.getSlowness(now), failureRate: record.failureRate,
+		});
+		const isFree = Math.max(load.running + load.waiting, record.inFlight) < load.slots;
+		return {place, estimateMs, isFree};
+	}
+
+	private _grant(place: Place): TargetLease {
+		const {clock} = this._options;
+		const {record, client} = place;
+		const startedAt = clock.now();
+		const slowdown = record.getLoad(startedAt)?.load.slowdown ?? 1;
+		let isReleased = false;
+		record.inFlight++;
+		return {
+			target: record.target,
+			client,
+			release: (end, load) => {
+				if (isReleased) {
+					return;
+				}
+
+				isReleased = true;
+				record.inFlight--;
+				const now = clock.now();
+				if (load !== undefined) {
+					this._reportsLoad = true;
+					record.recordLoad(load, now);
+				}
+
+				record.recordEnd(end, now);
+				if (end === AttemptEnd.Answered) {
+					this._recordDuration(record, now - startedAt, slowdown, now);
+				}
+
+				this._pump();
+			},
+		};
+	}
+
+	private _recordDuration(record: TargetRecord, durationMs: number, slowdown: number, now: number): void {
+		const expectedMs = Math.max(1, this._usualMs * Math.max(1, slowdown));
+		record.recordSlowness(durationMs / expectedMs, now);
+		this._usualMs += ((durationMs / Math.max(1, slowdown)) - this._usualMs) * usualWeight;
+	}
+
+	private _disposeWhenIdle({record, client}: Place): void {
+		const timer = setInterval(() => {
+			if (record.inFlight === 0) {
+				clearInterval(timer);
+				client.dispose();
+			}
+		}, 1000).unref();
+	}
+}
--- /dev/null
+++ b/src/controllers/gateway/source-reader.ts
@@ -0,0 +1,122 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {DisposableLike} from '../../common/disposable-like.js';
+import type {SiteSource} from '../../common/gateway/site-source.js';
+import type {SourceError} from '../../common/gateway/source-error.js';
+import type {Logger} from '../../common/logger.js';
+import type {SiteView} from './site-view.js';
+
+type SourceReaderOptions = {
+	readonly source: SiteSource;
+	readonly view: SiteView;
+	readonly logger: Logger;
+	/** Whether this instance reads for the others of its failure domain. */
+	readonly isReader: () => boolean;
+	readonly random: () => number;
+};
+
+/** Time between two reads of the list of targets, in ms; with the lag of the list it stays below the 2 s in which a leaving target is left. */
+const readIntervalMs = 500;
+/** Age of the view from which an instance reads for itself, in ms; readers are 0.5 s apart and peers are asked every 0.3 s. */
+const staleAfterMs = 1100;
+/** Pause after a failed call, in ms, doubled by chance so that instances do not call together. */
+const failedPauseMs = 150;
+
+/** Reads configuration and targets from the site's registry: always on a few instances, on the others while nobody tells them. */
+export class SourceReader implements DisposableLike {
+	private readonly _ending = new AbortController();
+	private _isReachable = true;
+
+	constructor(private readonly _options: SourceReaderOptions) {}
+
+	/** Starts reading; the first reads are this instance's own. */
+	start(): void {
+		void this._runTargets();
+		void this._runConfiguration();
+	}
+
+	dispose(): void {
+		this._ending.abort();
+	}
+
+	private get _isNeeded(): boolean {
+		const {view, isReader} = this._options;
+		return isReader() || !view.isComplete || view.listAgeMs > staleAfterMs;
+	}
+
+	private async _runTargets(): Promise<void> {
+		const {source, view} = this._options;
+		while (!this._ending.signal.aborted) {
+			if (this._isNeeded) {
+				const read = await source.readTargets();
+				if (read.isOk()) {
+					this._noteReachable();
+					view.offerTargets(read.value);
+				} else {
+					this._noteFailure('targets', read.error);
+				}
+
+				await this._pause(read.isOk() ? readIntervalMs : this._failedPauseMs);
+			} else {
+				await this._pause(readIntervalMs / 5);
+			}
+		}
+	}
+
+	private async _runConfiguration(): Promise<void> {
+		const {source} = this._options;
+		while (!this._ending.signal.aborted) {
+			if (!this._isNeeded) {
+				await this._pause(readIntervalMs / 5);
+				continue;
+			}
+
+			const isRead = await this._readConfiguration();
+			const waited = isRead ? await source.waitForChange() : undefined;
+			if (waited?.isErr()) {
+				this._noteFailure('configuration-changes', waited.error);
+			}
+
+			if (waited === undefined || waited.isErr()) {
+				await this._pause(this._failedPauseMs);
+			}
+		}
+	}
+
+	private async _readConfiguration(): Promise<boolean> {
+		const read = await this._options.source.readConfiguration();
+		if (read.isErr()) {
+			this._noteFailure('configuration', read.error);
+			return false;
+		}
+
+		this._noteReachable();
+		if (read.value === undefined) {
+			return false;
+		}
+
+		this._options.view.offerConfiguration(read.value);
+		return true;
+	}
+
+	private get _failedPauseMs(): number {
+		return failedPauseMs * (1 + this._options.random());
+	}
+
+	private _noteReachable(): void {
+		if (!this._isReachable) {
+			this._isReachable = true;
+			this._options.logger.logInfo('registry-regained', {listAgeMs: Math.round(this._options.view.listAgeMs)});
+		}
+	}
+
+	private _noteFailure(subject: string, error: SourceError): void {
+		if (this._isReachable) {
+			this._isReachable = false;
+			this._options.logger.logError('registry-lost', {subject, ...error});
+		}
+	}
+
+	private async _pause(ms: number): Promise<void> {
+		await sleep(ms, undefined, {signal: this._ending.signal}).catch(() => undefined);
+	}
+}
--- /dev/null
+++ b/src/controllers/gateway/target-prober.ts
@@ -0,0 +1,28 @@
+import {Buffer} from 'node:buffer';
+import type {HeaderVocabulary} from '../../common/gateway/header-vocabulary.js';
+import type {TargetClient} from '../../io/gateway/target-client.js';
+import {findHeader} from '../../policy/gateway/find-header.js';
+import {parseTargetLoad} from '../../policy/gateway/parse-target-load.js';
+import type {TargetProbe} from './target-probe.js';
+
+/** Time after which a probe's connection is given up as silent, in ms; answers take 4 ms within a site. */
+const probeTimeoutMs = 150;
+
+/** Asks targets for their health and load. */
+export class TargetProber {
+	constructor(private readonly _headers: HeaderVocabulary) {}
+
+	/** Sends a health check; undefined when there is no answer in time. */
+	async probe(client: Pick<TargetClient, 'sendRequest'>, healthPath: string, host: string): Promise<TargetProbe | undefined> {
+		const exchange = await client.sendRequest({
+			method: 'GET', path: healthPath, rawHeaders: ['host', host], body: Buffer.alloc(0), signal: AbortSignal.timeout(probeTimeoutMs),
+		});
+		if (exchange.kind !== 'answer') {
+			return undefined;
+		}
+
+		const {status, rawHeaders} = exchange.answer;
+		const targetId = findHeader(rawHeaders, this._headers.targetId);
+		return {isHealthy: status === 200 && targetId !== undefined, targetId, load: parseTargetLoad(findHeader(rawHeaders, this._headers.load))};
+	}
+}
--- a/src/filters/filter-chain.ts
+++ b/src/filters/filter-chain.ts
@@ -1,20 +1,20 @@
-import {err} from 'neverthrow';
+import {err, type Result} from 'neverthrow';
 import {ErrorKind} from '../common/error-kind.js';
 import {RequestError} from '../common/request-error.js';
-import type {FilterResult} from './filter-result.js';
+import type {TargetAnswer} from '../io/target-answer.js';
 import type {Filter} from './filter.js';
 import type {RequestContext} from './request-context.js';
 
 /** Runs the filters in order; an exception of a filter becomes an internal error with an honest outcome. */
-export class FilterChain {
-	constructor(private readonly _filters: readonly Filter[]) {}
+export class FilterChain<Context extends {readonly isDispatched: boolean} = RequestContext, Answer = TargetAnswer> {
+	constructor(private readonly _filters: ReadonlyArray<Filter<Context, Answer>>) {}
 
 	/** Names of the filters in the order in which a request passes them. */
 	get names(): readonly string[] {
 		return this._filters.map(filter => filter.name);
 	}
 
-	async run(context: RequestContext): FilterResult {
+	async run(context: Context): Promise<Result<Answer, RequestError>> {
 		try {
 			return await this._runFrom(0, context);
 		} catch (error) {
@@ -23,7 +23,7 @@
 		}
 	}
 
-	private async _runFrom(index: number, context: RequestContext): FilterResult {
+	private async _runFrom(index: number, context: Context): Promise<Result<Answer, RequestError>> {
 		const filter = this._filters[index];
 		if (filter === undefined) {
 			return err(new RequestError(ErrorKind.InternalQueued, 'the filter chain ended without an answer'));
--- /dev/null
+++ b/src/filters/gateway/attempt-runner.ts
@@ -0,0 +1,105 @@
+import {err, ok, type Result} from 'neverthrow';
+import type {Clock} from '../../common/clock.js';
+import {ErrorKind} from '../../common/error-kind.js';
+import {AttemptEnd} from '../../common/gateway/attempt-end.js';
+import type {HeaderVocabulary} from '../../common/gateway/header-vocabulary.js';
+import type {WholeAnswer} from '../../common/gateway/whole-answer.js';
+import {RequestError} from '../../common/request-error.js';
+import type {TargetLease} from '../../controllers/gateway/target-lease.js';
+import {classifyAnswer} from '../../policy/gateway/classify-answer.js';
+import {findHeader} from '../../policy/gateway/find-header.js';
+import {parseTargetLoad} from '../../policy/gateway/parse-target-load.js';
+import {TryInput} from '../../policy/try-input.js';
+import type {TryRecord} from '../../policy/try-record.js';
+import {stripHopHeaders} from '../strip-hop-headers.js';
+import type {GatewayContext} from './gateway-context.js';
+
+type AttemptOptions = {
+	readonly headers: HeaderVocabulary;
+	readonly clock: Clock;
+};
+
+/** Sends a request to the target of a lease and judges the answer. */
+export class AttemptRunner {
+	constructor(private readonly _options: AttemptOptions) {}
+
+	/**
+	Runs one attempt; the lease is released at its end.
+	@param signal - Ends the attempt.
+	*/
+	async run(context: GatewayContext, lease: TargetLease, signal: AbortSignal): Promise<Result<WholeAnswer, RequestError>> {
+		const record = context.ledger.beginTry(context.route?.isIdempotent ?? false);
+		if (record === undefined) {
+			lease.release(AttemptEnd.Unused);
+			return err(new RequestError(ErrorKind.InternalDispatched, 'a second attempt could run the request twice'));
+		}
+
+		record.apply(TryInput.Connect);
+		if (signal.aborted || this._options.clock.now() >= context.deadlineAt) {
+			record.apply(TryInput.GiveUp);
+			lease.release(AttemptEnd.Unused);
+			return err(new RequestError(ErrorKind.DeadlineExpiredQueued, 'the deadline expired before dispatch'));
+		}
+
+		context.triedTargets.push(lease.target.id);
+		record.apply(TryInput.Dispatch);
+		const exchange = await lease.client.sendRequest({
+			method: context.request.method ?? 'GET', path: context.request.url ?? '/', rawHeaders: this._createHeaders(context, lease), body: context.body, signal,
+		});
+		switch (exchange.kind) {
+			case 'unsent': {
+				record.apply(TryInput.Unwritten);
+				lease.release(signal.aborted ? AttemptEnd.Cancelled : AttemptEnd.ConnectFailed);
+				return err(new RequestError(ErrorKind.ConnectFailed, `target ${lease.target.id}: ${exchange.detail}`));
+			}
+
+			case 'lost': {
+				record.apply(TryInput.Lost);
+				lease.release(signal.aborted ? AttemptEnd.Cancelled : AttemptEnd.Lost);
+				return err(this._explainLoss(context, lease, exchange.detail));
+			}
+
+			case 'answer': {
+				return this._judge(context, lease, record, exchange.answer);
+			}
+		}
+	}
+
+	private _judge(context: GatewayContext, lease: TargetLease, record: TryRecord, answer: WholeAnswer): Result<WholeAnswer, RequestError> {
+		const {headers} = this._options;
+		const end = classifyAnswer(answer, headers, context.requestId);
+		record.apply(TryInput.AnswerStarted);
+		lease.release(end, parseTargetLoad(findHeader(answer.rawHeaders, headers.load)));
+		switch (end) {
+			case AttemptEnd.Refused:
+			case AttemptEnd.Misdirected: {
+				record.apply(TryInput.Refused);
+				return err(new RequestError(ErrorKind.TargetRefused, `target ${lease.target.id} answered ${answer.status} as not run`));
+			}
+
+			case AttemptEnd.Lost: {
+				record.apply(TryInput.Lost);
+				return err(new RequestError(ErrorKind.AnswerCut, `target ${lease.target.id} sent an answer that is not one to this request`));
+			}
+
+			default: {
+				record.apply(TryInput.AnswerWhole);
+				return ok(answer);
+			}
+		}
+	}
+
+	private _explainLoss(context: GatewayContext, lease: TargetLease, detail: string): RequestError {
+		return context.signal.aborted
+			? context.signal.reason as RequestError
+			: new RequestError(ErrorKind.ConnectionLost, `target ${lease.target.id}: ${detail}`);
+	}
+
+	private _createHeaders(context: GatewayContext, lease: TargetLease): string[] {
+		const {headers, clock} = this._options;
+		const leftMs = Math.max(1, Math.floor(context.deadlineAt - clock.now()));
+		const kept = stripHopHeaders(context.request.rawHeaders, [headers.timeoutMs, headers.expectedTarget, 'content-length']);
+		kept.push(headers.timeoutMs, String(leftMs), headers.expectedTarget, lease.target.id);
+		return kept;
+	}
+}
--- /dev/null
+++ b/src/filters/gateway/body-filter.ts
@@ -0,0 +1,52 @@
+import {Buffer} from 'node:buffer';
+import {err, ok, type Result} from 'neverthrow';
+import {ErrorKind} from '../../common/error-kind.js';
+import {RequestError} from '../../common/request-error.js';
+import type {SiteView} from '../../controllers/gateway/site-view.js';
+import type {GatewayContext} from './gateway-context.js';
+import type {GatewayFilter} from './gateway-filter.js';
+import type {GatewayNext} from './gateway-next.js';
+import type {GatewayResult} from './gateway-result.js';
+
+/** Reads the whole body, so that a request can be sent to a second target. */
+export class BodyFilter implements GatewayFilter {
+	constructor(private readonly _view: SiteView) {}
+
+	get name(): string {
+		return 'body';
+	}
+
+	async handleRequest(context: GatewayContext, next: GatewayNext): GatewayResult {
+		const limit = this._view.configuration?.limits.bodyBytes ?? 0;
+		const read = await this._readBody(context, limit);
+		if (read.isErr()) {
+			return err(read.error);
+		}
+
+		context.body = read.value;
+		return next(context);
+	}
+
+	private async _readBody({request, signal}: GatewayContext, limit: number): Promise<Result<Buffer<ArrayBuffer>, RequestError>> {
+		const chunks: Buffer[] = [];
+		let length = 0;
+		return new Promise(resolve => {
+			request.on('data', (chunk: Buffer) => {
+				chunks.push(chunk);
+				length += chunk.length;
+				if (length > limit) {
+					resolve(err(new RequestError(ErrorKind.BodyTooLarge, `the body has more than ${limit} bytes`)));
+				}
+			});
+			request.on('end', () => {
+				resolve(ok(Buffer.concat(chunks)));
+			});
+			request.on('error', error => {
+				resolve(err(new RequestError(ErrorKind.CallerGone, error.message)));
+			});
+			signal.addEventListener('abort', () => {
+				resolve(err(signal.reason as RequestError));
+			}, {once: true});
+		});
+	}
+}
--- /dev/null
+++ b/src/filters/gateway/gateway-context.ts
@@ -0,0 +1,44 @@
+import {Buffer} from 'node:buffer';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {GatewayRoute} from '../../common/gateway/gateway-route.js';
+import type {RequestError} from '../../common/request-error.js';
+import {OutcomeLedger} from '../../policy/outcome-ledger.js';
+
+/** What the filters know of one request; each filter fills in its own fields. */
+export class GatewayContext {
+	/** Set by the route filter. */
+	route: GatewayRoute | undefined;
+	/** Set by the route filter. */
+	service = '';
+	/** Set by the body filter. */
+	body = Buffer.alloc(0);
+	/** Set by the deadline filter: time by which the answer must be whole, on the instance's clock, in ms. */
+	deadlineAt = Number.POSITIVE_INFINITY;
+	/** Targets that the request was sent to. */
+	readonly triedTargets: string[] = [];
+	readonly ledger = new OutcomeLedger();
+	private readonly _abort = new AbortController();
+
+	/**
+	@param request - The caller's request.
+	@param response - Where the answer goes.
+	@param receivedAt - Arrival of the head on the instance's clock, in ms.
+	@param requestId - The caller's id of this attempt.
+	*/
+	constructor(readonly request: IncomingMessage, readonly response: ServerResponse, readonly receivedAt: number, readonly requestId: string | undefined) {}
+
+	/** Aborted when the caller has gone or the deadline has expired; the reason is a request error. */
+	get signal(): AbortSignal {
+		return this._abort.signal;
+	}
+
+	/** True once a byte of the request may have reached a target. */
+	get isDispatched(): boolean {
+		return this.ledger.isDispatched;
+	}
+
+	/** Ends all work for the request. */
+	abort(reason: RequestError): void {
+		this._abort.abort(reason);
+	}
+}
--- /dev/null
+++ b/src/filters/gateway/gateway-filter.ts
@@ -0,0 +1,6 @@
+import type {WholeAnswer} from '../../common/gateway/whole-answer.js';
+import type {Filter} from '../filter.js';
+import type {GatewayContext} from './gateway-context.js';
+
+/** One step of the chain that every request to a gateway passes. */
+export type GatewayFilter = Filter<GatewayContext, WholeAnswer>;
--- /dev/null
+++ b/src/filters/gateway/route-filter.ts
@@ -0,0 +1,62 @@
+import {err} from 'neverthrow';
+import {ErrorKind} from '../../common/error-kind.js';
+import {RequestError} from '../../common/request-error.js';
+import type {SiteView} from '../../controllers/gateway/site-view.js';
+import {chooseShare} from '../../policy/gateway/choose-share.js';
+import {findRoute} from '../../policy/gateway/find-route.js';
+import type {GatewayContext} from './gateway-context.js';
+import type {GatewayFilter} from './gateway-filter.js';
+import type {GatewayNext} from './gateway-next.js';
+import type {GatewayResult} from './gateway-result.js';
+
+/** Time after which a caller should ask again while this instance knows no configuration, in ms: one read takes 10 ms. */
+const unconfiguredRetryMs = 200;
+
+/** Finds the route of a request and the service that gets it. */
+export class RouteFilter implements GatewayFilter {
+	private _shareCounts = new Map<string, Map<string, number>>();
+
+	constructor(private readonly _view: SiteView) {
+		_view.onConfiguration(() => {
+			// The weights may have changed; counts under the old ones would skew the new split.
+			this._shareCounts = new Map();
+		});
+	}
+
+	get name(): string {
+		return 'route';
+	}
+
+	async handleRequest(context: GatewayContext, next: GatewayNext): GatewayResult {
+		const {configuration} = this._view;
+		if (configuration === undefined) {
+			return err(new RequestError(ErrorKind.NotConfigured, 'this instance has not read a configuration yet', unconfiguredRetryMs));
+		}
+
+		const {request} = context;
+		const [path = '/'] = (request.url ?? '/').split('?', 1);
+		const route = findRoute(configuration.routes, request.headers.host ?? '', path);
+		if (route === undefined) {
+			return err(new RequestError(ErrorKind.UnknownService, `no route of version ${configuration.version} matches the host "${request.headers.host ?? ''}" and this path`));
+		}
+
+		context.route = route;
+		context.service = this._chooseService(route.name, route.shares);
+		return next(context);
+	}
+
+	private _chooseService(route: string, shares: Parameters<typeof chooseShare>[0]): string {
+		const [first] = shares;
+		if (shares.length === 1 && first !== undefined) {
+			return first.service;
+		}
+
+		let counts = this._shareCounts.get(route);
+		if (counts === undefined) {
+			counts = new Map();
+			this._shareCounts.set(route, counts);
+		}
+
+		return chooseShare(shares, counts) ?? '';
+	}
+}
--- /dev/null
+++ b/src/filters/gateway/send-answer-filter.ts
@@ -0,0 +1,62 @@
+import {Buffer} from 'node:buffer';
+import {createProblem} from '../../common/create-problem.js';
+import type {WholeAnswer} from '../../common/gateway/whole-answer.js';
+import type {RequestError} from '../../common/request-error.js';
+import {stripHopHeaders} from '../strip-hop-headers.js';
+import type {GatewayContext} from './gateway-context.js';
+import type {GatewayFilter} from './gateway-filter.js';
+import type {GatewayNext} from './gateway-next.js';
+import type {GatewayResult} from './gateway-result.js';
+
+/** Statuses of answers that never carry a body (RFC 9110, section 6.4.1). */
+const bodilessStatuses = new Set([204, 304]);
+
+/** Writes a target's whole answer, or the problem document of an error, to the caller. */
+export class SendAnswerFilter implements GatewayFilter {
+	get name(): string {
+		return 'answer';
+	}
+
+	async handleRequest(context: GatewayContext, next: GatewayNext): GatewayResult {
+		const result = await next(context);
+		if (context.response.destroyed) {
+			return result;
+		}
+
+		if (result.isErr()) {
+			this._sendProblem(context, result.error);
+		} else {
+			this._sendAnswer(context, result.value);
+		}
+
+		return result;
+	}
+
+	private _sendAnswer({request, response}: GatewayContext, {status, rawHeaders, body}: WholeAnswer): void {
+		const hasNoBody = request.method === 'HEAD' || bodilessStatuses.has(status);
+		const headers = stripHopHeaders(rawHeaders, hasNoBody ? [] : ['content-length']);
+		if (!hasNoBody) {
+			headers.push('content-length', String(body.length));
+		}
+
+		response.sendDate = false;
+		response.writeHead(status, headers);
+		response.end(body);
+	}
+
+	private _sendProblem({request, response}: GatewayContext, error: RequestError): void {
+		const {status, headers, body} = createProblem(error);
+		if (error.retryAfterMs !== undefined) {
+			// Callers of a gateway take fractions of a second; a whole second is longer than many of them wait.
+			headers['retry-after'] = (error.retryAfterMs / 1000).toFixed(2);
+		}
+
+		if (!request.complete) {
+			// What is left of the body would have to be read before the next request.
+			headers.connection = 'close';
+		}
+
+		response.writeHead(status, {...headers, 'content-length': Buffer.byteLength(body)});
+		response.end(request.method === 'HEAD' ? undefined : body);
+	}
+}
--- /dev/null
+++ b/src/filters/gateway/time-limit-filter.ts
@@ -0,0 +1,46 @@
+import {err} from 'neverthrow';
+import type {Clock} from '../../common/clock.js';
+import {ErrorKind} from '../../common/error-kind.js';
+import {RequestError} from '../../common/request-error.js';
+import type {GatewayContext} from './gateway-context.js';
+import type {GatewayFilter} from './gateway-filter.js';
+import type {GatewayNext} from './gateway-next.js';
+import type {GatewayResult} from './gateway-result.js';
+
+type TimeLimitOptions = {
+	readonly clock: Clock;
+	/** Header, in lower case, by which a caller says how long it waits, in ms. */
+	readonly timeoutHeader: string;
+};
+
+/** Sets the deadline of a request, the earlier of the caller's and the route's, and ends the request when it expires or the caller leaves. */
+export class TimeLimitFilter implements GatewayFilter {
+	constructor(private readonly _options: TimeLimitOptions) {}
+
+	get name(): string {
+		return 'time-limit';
+	}
+
+	async handleRequest(context: GatewayContext, next: GatewayNext): GatewayResult {
+		const {clock, timeoutHeader} = this._options;
+		const stated = context.request.headers[timeoutHeader];
+		const statedMs = stated === undefined ? Number.POSITIVE_INFINITY : Number(stated);
+		if (Number.isNaN(statedMs)) {
+			return err(new RequestError(ErrorKind.MalformedRequest, `header ${timeoutHeader}: "${String(stated)}" is not a number of ms`));
+		}
+
+		const allowanceMs = Math.max(0, Math.min(statedMs, context.route?.timeoutMs ?? 0));
+		context.deadlineAt = context.receivedAt + allowanceMs;
+		const timer = setTimeout(() => {
+			const kind = context.isDispatched ? ErrorKind.DeadlineExpiredDispatched : ErrorKind.DeadlineExpiredQueued;
+			context.abort(new RequestError(kind, `no whole answer within ${allowanceMs} ms`));
+		}, context.deadlineAt - clock.now());
+		context.response.once('close', () => {
+			clearTimeout(timer);
+			if (!context.response.writableFinished) {
+				context.abort(new RequestError(ErrorKind.CallerGone, 'the caller closed the connection'));
+			}
+		});
+		return next(context);
+	}
+}
--- a/src/filters/shutdown-filter.ts
+++ b/src/filters/shutdown-filter.ts
@@ -1,24 +1,28 @@
+import type {ServerResponse} from 'node:http';
+import type {Result} from 'neverthrow';
+import type {RequestError} from '../common/request-error.js';
 import type {ShutdownController} from '../controllers/shutdown-controller.js';
-import type {FilterResult} from './filter-result.js';
+import type {TargetAnswer} from '../io/target-answer.js';
 import type {Filter} from './filter.js';
-import type {NextFilter} from './next-filter.js';
 import type {RequestContext} from './request-context.js';
 
+type Stoppable = {readonly response: ServerResponse; abort(reason: RequestError): void};
+
 /** Lets a planned stop know of every request in flight, until its answer is with the caller. */
-export class ShutdownFilter implements Filter {
+export class ShutdownFilter<Context extends Stoppable = RequestContext, Answer = TargetAnswer> implements Filter<Context, Answer> {
 	constructor(private readonly _shutdown: ShutdownController) {}
 
 	get name(): string {
 		return 'shutdown';
 	}
 
-	async handleRequest(context: RequestContext, next: NextFilter): FilterResult {
+	async handleRequest(context: Context, next: (context: Context) => Promise<Result<Answer, RequestError>>): Promise<Result<Answer, RequestError>> {
 		const {response} = context;
 		const exchange = {
 			closeAfterAnswer() {
 				response.shouldKeepAlive = false;
 			},
-			abort(reason: Parameters<RequestContext['abort']>[0]) {
+			abort(reason: RequestError) {
 				context.abort(reason);
 			},
 		};
--- /dev/null
+++ b/src/io/gateway/sync-client.ts
@@ -0,0 +1,44 @@
+import {Agent} from 'node:http';
+import {createTRPCClient, httpLink, type TRPCClient} from '@trpc/client';
+import {fromPromise, type Result} from 'neverthrow';
+import type {DisposableLike} from '../../common/disposable-like.js';
+import type {SyncMessage} from '../../common/gateway/sync-message.js';
+import {sendJson} from './send-json.js';
+import type {SyncRouter} from './sync-router.js';
+
+/** Time after which a peer counts as not answering, in ms; a round trip within a site takes 3 ms. */
+const syncTimeoutMs = 300;
+
+/** Exchanges messages with other instances over connections that are kept open. */
+export class SyncClient implements DisposableLike {
+	private readonly _agent = new Agent({keepAlive: true, maxSockets: 2, noDelay: true});
+	private readonly _clients = new Map<string, TRPCClient<SyncRouter>>();
+
+	/** Sends a message to a peer and resolves with its answer. */
+	async exchange(peerAddress: string, message: SyncMessage): Promise<Result<SyncMessage, Error>> {
+		const exchanged = this._getClient(peerAddress).sync.mutate(message);
+		return fromPromise(exchanged, error => error as Error);
+	}
+
+	dispose(): void {
+		this._agent.destroy();
+	}
+
+	private _getClient(peerAddress: string): TRPCClient<SyncRouter> {
+		let client = this._clients.get(peerAddress);
+		if (client === undefined) {
+			client = createTRPCClient<SyncRouter>({
+				links: [httpLink({
+					url: `http://${peerAddress}`,
+					// The global fetch would load a second HTTP client into every process.
+					fetch: async (url, options) => sendJson(String(url), {
+						method: options?.method ?? 'POST', body: options?.body as string, agent: this._agent, timeoutMs: syncTimeoutMs,
+					}),
+				})],
+			});
+			this._clients.set(peerAddress, client);
+		}
+
+		return client;
+	}
+}
--- /dev/null
+++ b/src/io/gateway/target-agent.ts
@@ -0,0 +1,35 @@
+import {Agent, type AgentOptions, type ClientRequest} from 'node:http';
+import type {Duplex} from 'node:stream';
+
+/** Keeps connections to one target and closes an idle one on which bytes arrive: they belong to no request. */
+export class TargetAgent extends Agent {
+	private readonly _guards = new WeakMap<Duplex, () => void>();
+
+	constructor(options: AgentOptions) {
+		super({...options, keepAlive: true, scheduling: 'lifo'});
+	}
+
+	override keepSocketAlive(socket: Duplex): boolean {
+		const isKept = (super.keepSocketAlive(socket) as unknown as boolean);
+		if (isKept) {
+			const closeConnection = () => {
+				socket.destroy();
+			};
+
+			this._guards.set(socket, closeConnection);
+			socket.on('data', closeConnection);
+		}
+
+		return isKept;
+	}
+
+	override reuseSocket(socket: Duplex, request: ClientRequest): void {
+		const guard = this._guards.get(socket);
+		if (guard !== undefined) {
+			socket.off('data', guard);
+			this._guards.delete(socket);
+		}
+
+		super.reuseSocket(socket, request);
+	}
+}
--- /dev/null
+++ b/src/io/gateway/target-client.ts
@@ -0,0 +1,107 @@
+import {Buffer} from 'node:buffer';
+import {
+	request as openRequest, type ClientRequest, type IncomingMessage, type RequestOptions,
+} from 'node:http';
+import type {DisposableLike} from '../../common/disposable-like.js';
+import type {OutgoingRequest} from './outgoing-request.js';
+import {TargetAgent} from './target-agent.js';
+import type {TargetExchange} from './target-exchange.js';
+
+type TargetClientOptions = {
+	readonly host: string;
+	readonly port: number;
+	/** Connections that this instance may hold to the target. */
+	readonly maxConnections: number;
+};
+
+/** Idle time after which a connection is closed, in ms; targets close theirs after 10 s or state a time of their own. */
+const idleTimeoutMs = 8000;
+/** Time to open a connection, in ms; one round trip across failure domains takes 3 ms. */
+const connectTimeoutMs = 400;
+
+/** Carries requests to one target over connections that are kept open. */
+export class TargetClient implements DisposableLike {
+	private readonly _agent: TargetAgent;
+
+	constructor(private readonly _options: TargetClientOptions) {
+		this._agent = new TargetAgent({
+			maxSockets: _options.maxConnections, maxFreeSockets: _options.maxConnections, timeout: idleTimeoutMs, noDelay: true,
+		});
+	}
+
+	/** Sends a request and resolves when the answer is whole or can no longer become so. */
+	async sendRequest(outgoing: OutgoingRequest): Promise<TargetExchange> {
+		const {method, path, rawHeaders, body, signal} = outgoing;
+		const headers = body.length > 0 ? [...rawHeaders, 'content-length', String(body.length)] : [...rawHeaders];
+		const {host, port} = this._options;
+		// The library takes names and values in turn, which keeps repeated headers and their case; its type lacks that form.
+		const options = {
+			host, port, method, path, headers, agent: this._agent, signal,
+		} as unknown as RequestOptions;
+		return new Promise(resolve => {
+			const request = openRequest(options);
+			let isConnected = false;
+			let answer: IncomingMessage | undefined;
+			const fail = (error: Error) => {
+				// Bytes after a whole answer fail the connection, not the answer.
+				if (answer?.complete !== true) {
+					resolve({kind: isConnected ? 'lost' : 'unsent', detail: error.message});
+				}
+			};
+
+			this._watchConnect(request, () => {
+				isConnected = true;
+			});
+			request.on('error', fail);
+			request.on('response', response => {
+				answer = response;
+				this._collectBody(response, resolve);
+			});
+			request.end(body.length > 0 ? body : undefined);
+		});
+	}
+
+	dispose(): void {
+		this._agent.destroy();
+	}
+
+	private _watchConnect(request: ClientRequest, markConnected: () => void): void {
+		request.once('socket', socket => {
+			if (!socket.connecting) {
+				markConnected();
+				return;
+			}
+
+			const timer = setTimeout(() => {
+				socket.destroy(new Error(`no connection within ${connectTimeoutMs} ms`));
+			}, connectTimeoutMs);
+			socket.once('connect', () => {
+				clearTimeout(timer);
+				markConnected();
+			});
+			socket.once('close', () => {
+				clearTimeout(timer);
+			});
+		});
+	}
+
+	private _collectBody(response: IncomingMessage, resolve: (exchange: TargetExchange) => void): void {
+		const chunks: Buffer[] = [];
+		response.on('data', (chunk: Buffer) => {
+			chunks.push(chunk);
+		});
+		response.on('end', () => {
+			if (response.complete) {
+				resolve({kind: 'answer', answer: {status: response.statusCode ?? 0, rawHeaders: response.rawHeaders, body: Buffer.concat(chunks)}});
+			} else {
+				resolve({kind: 'lost', detail: 'the answer was cut'});
+			}
+		});
+		response.on('error', error => {
+			resolve({kind: 'lost', detail: error.message});
+		});
+		response.on('close', () => {
+			resolve({kind: 'lost', detail: 'the answer was cut'});
+		});
+	}
+}
--- /dev/null
+++ b/src/policy/gateway/choose-share.ts
@@ -0,0 +1,24 @@
+import type {ServiceShare} from '../../common/gateway/service-share.js';
+
+/**
+Chooses the service of a weighted split whose count lags most behind its weight, so that even few requests follow the weights.
+@param shares - The parts of the split.
+@param counts - Requests that each service got so far; the chosen one is counted here.
+*/
+export const chooseShare = (shares: readonly ServiceShare[], counts: Map<string, number>): string | undefined => {
+	let chosen: string | undefined;
+	let lowest = Number.POSITIVE_INFINITY;
+	for (const {service, weight} of shares) {
+		const relative = ((counts.get(service) ?? 0) + 1) / weight;
+		if (weight > 0 && relative < lowest) {
+			lowest = relative;
+			chosen = service;
+		}
+	}
+
+	if (chosen !== undefined) {
+		counts.set(chosen, (counts.get(chosen) ?? 0) + 1);
+	}
+
+	return chosen;
+};
--- /dev/null
+++ b/src/policy/gateway/target-record.ts
@@ -0,0 +1,129 @@
+import {AttemptEnd} from '../../common/gateway/attempt-end.js';
+import type {GatewayTarget} from '../../common/gateway/gateway-target.js';
+import type {TargetLoad} from '../../common/gateway/target-load.js';
+
+/** Weight of the newest result in the failure rate. */
+const failureWeight = 0.25;
+/** Failure rate from which a target gets no requests for a while: about three failures in a row. */
+const ejectRate = 0.55;
+/** First time without requests, in ms; doubled with each further one up to the longest. */
+const ejectMs = 1000;
+const longestEjectMs = 8000;
+/** Time without probes after one that was not answered, in ms. */
+const silentMs = 250;
+/** Weight of the newest answer in the measured slowness. */
+const slownessWeight = 0.2;
+const maxSlowness = 10;
+/** Time in which half of a measured slowness is forgotten, in ms. */
+const slownessHalfLifeMs = 4000;
+
+/** What this instance knows of one target from its own requests and the target's reports. */
+export class TargetRecord {
+	/** Requests of this instance that the target has not answered. */
+	inFlight = 0;
+	private _load: TargetLoad | undefined;
+	private _loadAt = Number.NEGATIVE_INFINITY;
+	private _failureRate = 0;
+	private _ejectCount = 0;
+	private _blockedUntil = Number.NEGATIVE_INFINITY;
+	private _slowness = 1;
+	private _slownessAt = 0;
+
+	/**
+	@param target - The record in the list of targets.
+	@param _listedAt - Time at which the target was first listed, in ms.
+	*/
+	constructor(public target: GatewayTarget, private readonly _listedAt: number) {}
+
+	/** The last report and its age in ms. */
+	getLoad(now: number): {readonly load: TargetLoad; readonly ageMs: number} | undefined {
+		return this._load === undefined ? undefined : {load: this._load, ageMs: now - this._loadAt};
+	}
+
+	get failureRate(): number {
+		return this._failureRate;
+	}
+
+	/** Whether the target is still slow after its start. */
+	isWarming(now: number): boolean {
+		return now - this._listedAt < this.target.warmUpLeftMs;
+	}
+
+	/** Whether the target gets no requests for now, because of what was seen of it. */
+	isBlocked(now: number): boolean {
+		return now < this._blockedUntil;
+	}
+
+	/** Time that work takes against what the target's reports promise, as a factor. */
+	getSlowness(now: number): number {
+		const remembered = 0.5 ** ((now - this._slownessAt) / slownessHalfLifeMs);
+		return 1 + ((this._slowness - 1) * remembered);
+	}
+
+	recordLoad(load: TargetLoad, now: number): void {
+		this._load = load;
+		this._loadAt = now;
+	}
+
+	/** Notes that a probe was not answered in time. */
+	recordSilence(now: number): void {
+		this._blockedUntil = Math.max(this._blockedUntil, now + silentMs);
+	}
+
+	/** Notes an answer's duration against the one expected, as a factor. */
+	recordSlowness(factor: number, now: number): void {
+		const before = this.getSlowness(now);
+		this._slowness = before + ((Math.min(maxSlowness, factor) - before) * slownessWeight);
+		this._slownessAt = now;
+	}
+
+	/** Notes how an attempt ended. */
+	recordEnd(end: AttemptEnd, now: number): void {
+		switch (end) {
+			case AttemptEnd.Answered: {
+				this._failureRate *= 1 - failureWeight;
+				if (this._failureRate < failureWeight) {
+					this._ejectCount = 0;
+				}
+
+				return;
+			}
+
+			case AttemptEnd.Failed:
+			case AttemptEnd.Lost: {
+				this._failureRate += (1 - this._failureRate) * failureWeight;
+				if (this._failureRate >= ejectRate) {
+					this._eject(now);
+				}
+
+				return;
+			}
+
+			case AttemptEnd.ConnectFailed: {
+				this._eject(now);
+				return;
+			}
+
+			case AttemptEnd.Misdirected: {
+				// The address belongs to another target; only a new record of the list can change that.
+				this._blockedUntil = Number.POSITIVE_INFINITY;
+				return;
+			}
+
+			case AttemptEnd.Refused: {
+				this._load = undefined;
+			}
+
+			case AttemptEnd.Cancelled:
+			case AttemptEnd.Unused: {
+				break;
+			}
+		}
+	}
+
+	private _eject(now: number): void {
+		const durationMs = Math.min(longestEjectMs, ejectMs * (2 ** this._ejectCount));
+		this._ejectCount++;
+		this._blockedUntil = Math.max(this._blockedUntil, now + durationMs);
+	}
+}
