--- a/src/controllers/gateway/member-controller.ts
+++ b/src/controllers/gateway/member-controller.ts
@@ -20,13 +20,19 @@
 /** Time between two rounds, in ms. */
 const roundMs = 250;
 /** Rounds between two exchanges with another failure domain; bytes between domains are dear. */
-const remoteEvery = 10;
-/** Rounds after the start in which the seeds are asked every time. */
-const seedRounds = 20;
+const remoteEvery = 20;
+/** The same while the own view is older than it should be, as when the whole domain cannot reach the registry. */
+const remoteEveryWhenStale = 3;
+/** Rounds after the start in which a seed is asked each time, unless the own domain's hub is known. */
+const seedRounds = 12;
+/** Rounds between two questions to a seed later on, which joins parts of the fleet that do not know each other. */
+const seedEvery = 60;
+/** Age of the view from which other domains are asked more often, in ms. */
+const staleMs = 1500;
 /** Silence after which an instance of the same failure domain counts as lost, in ms: three rounds. */
 const localLiveMs = 900;
 /** Silence after which an instance of another failure domain counts as lost, in ms: two exchanges. */
-const remoteLiveMs = 6000;
+const remoteLiveMs = 12_000;
 /** Silence after which an instance is forgotten, in ms. */
 const forgetMs = 60_000;
 
@@ -113,6 +119,13 @@
 		return hub;
 	}
 
+	/** This instance and one of each failure domain, by which another domain finds the rest. */
+	private _listHubs(): GatewayMember[] {
+		const domains = new Set(this._table.members.map(member => member.failureDomain));
+		const hubs = [...domains].flatMap(domain => this._findHub(domain) ?? []).filter(hub => hub.id !== this._self.id);
+		return [this._self, ...hubs];
+	}
+
 	private async _runRound(): Promise<void> {
 		this._round++;
 		this._self = {...this._self, counter: this._self.counter + 1};
@@ -122,12 +135,13 @@
 			exchanges.push(this._exchange(hub.peerAddress, hub));
 		}
 
-		if (hub?.id === this._self.id && this._round % remoteEvery === 0) {
+		const isHub = hub?.id === this._self.id;
+		const every = this._options.view.listAgeMs > staleMs ? remoteEveryWhenStale : remoteEvery;
+		if (isHub && this._round % every === 0) {
 			exchanges.push(...this._exchangeWithHubs());
 		}
 
-		const isAlone = this._listLocal().length === 1;
-		if (this._round < seedRounds || (isAlone && this._round % 4 === 0) || this._round % (remoteEvery * 4) === 0) {
+		if (isHub && (this._round <= seedRounds || this._round % seedEvery === 0)) {
 			exchanges.push(this._askSeed());
 		}
 
@@ -192,7 +206,7 @@
 		const sendsTargets = known !== undefined && version.listConfirmed > known.listConfirmed && version.listContent !== known.listContent;
 		return {
 			from: this._self.id,
-			members: isLocal ? this.listLive() : this._listLocal(),
+			members: isLocal ? this.listLive() : this._listHubs(),
 			view: version,
 			...(sendsConfiguration && {configuration: view.configuration}),
 			...(sendsTargets && {targets: view.targets}),
--- a/src/controllers/gateway/service-placer.ts
+++ b/src/controllers/gateway/service-placer.ts
@@ -33,12 +33,16 @@
 	settle(result: Result<TargetLease, RequestError>): void;
 	isSettled: boolean;
 };
-type Choice = {readonly place: Place; readonly estimateMs: number; readonly isFree: boolean};
+type Choice = {readonly place: Place; readonly estimateMs: number; readonly isFree: boolean; readonly isIdle: boolean};
 
 /** Targets that are asked for their load when a request is placed. */
 const maxCandidates = 9;
 /** Time for which answers of probes are awaited, in ms: two round trips across failure domains, with the targets' own time. */
 const probeWaitMs = 8;
+/** The same within a failure domain, in ms. */
+const localProbeWaitMs = 3;
+/** Estimated duration up to which a target is taken without asking those of other domains, as a factor of the usual one. */
+const idleFactor = 1.3;
 /** Age up to which a report is as good as a probe, in ms. */
 const freshMs = 5;
 /** Time after which requests that found no free target look again, in ms, if nothing is released before. */
@@ -214,12 +218,25 @@
 		}, lookAgainMs);
 	}
 
+	/** Asks the targets of the own failure domain first, since bytes between domains are dear, and the others unless one of those is idle. */
 	private async _choose(demand: PlacementDemand): Promise<Choice | undefined> {
 		const candidates = this._listCandidates(demand);
-		if (this._reportsLoad !== false) {
-			await this._probe(candidates);
+		if (this._reportsLoad === false) {
+			return this._rateAll(candidates);
 		}
 
+		const local = candidates.filter(({record}) => record.target.failureDomain === this._options.failureDomain);
+		await this._probe(local, localProbeWaitMs);
+		const best = this._rateAll(local);
+		if (best?.isIdle) {
+			return best;
+		}
+
+		await this._probe(candidates.filter(candidate => !local.includes(candidate)), probeWaitMs);
+		return this._rateAll(candidates);
+	}
+
+	private _rateAll(candidates: readonly Place[]): Choice | undefined {
 		const now = this._options.clock.now();
 		let best: Choice | undefined;
 		for (const place of candidates) {
@@ -247,12 +264,12 @@
 			.map(({place}) => place);
 	}
 
-	private async _probe(candidates: readonly Place[]): Promise<void> {
+	private async _probe(candidates: readonly Place[], waitMs: number): Promise<void> {
 		const {clock, prober, service} = this._options;
 		const now = clock.now();
 		const probes = candidates.filter(({record, probes}) => (record.getLoad(now)?.ageMs ?? Number.POSITIVE_INFINITY) > freshMs && probes.tryTake(now)).map(async place => {
 			const {record, client} = place;
-			const probe = await prober.probe(client, service.healthPath, `${record.target.host}:${record.target.port}`);
+			const probe = await prober.probe(client, service.healthPath, record.target.id);
 			const answeredAt = clock.now();
 			if (probe === undefined) {
 				record.recordSilence(answeredAt);
@@ -268,7 +285,7 @@
 			}
 		});
 		if (probes.length > 0) {
-			await Promise.race([Promise.all(probes), sleep(probeWaitMs)]);
+			await Promise.race([Promise.all(probes), sleep(waitMs)]);
 		}
 	}
 
@@ -290,7 +307,7 @@
 			load, inFlight: record.inFlight, usualMs: this._usualMs, isWarming: record.isWarming(now), slowness: record.getSlowness(now), failureRate: record.failureRate,
 		});
 		const isFree = Math.max(load.running + load.waiting, record.inFlight) < load.slots;
-		return {place, estimateMs, isFree};
+		return {place, estimateMs, isFree, isIdle: isFree && estimateMs <= this._usualMs * idleFactor};
 	}
 
 	private _grant(place: Place): TargetLease {
--- a/src/policy/gateway/target-record.ts
+++ b/src/policy/gateway/target-record.ts
@@ -112,6 +112,7 @@
 
 			case AttemptEnd.Refused: {
 				this._load = undefined;
+				break;
 			}
 
 			case AttemptEnd.Cancelled:
