--- a/src/bin/gateway-daemon.ts
+++ b/src/bin/gateway-daemon.ts
@@ -78,7 +78,7 @@
 			random: Math.random,
 		}));
 		this._reader = this._store.add(new SourceReader({
-			source: site.source, view: this._view, logger, random: Math.random, isReader: () => this._members.isHub,
+			source: site.source, view: this._view, logger, random: Math.random, isReader: () => this._members.isHub, waitsForPeers: settings.isFirstStart,
 		}));
 		this._entries = new EntryController({members: this._members, view: this._view, failureDomain: settings.instance.failureDomain});
 		this._shutdown = this._store.add(this._createShutdown());
@@ -110,7 +110,7 @@
 			return err(failed.error);
 		}
 
-		this._reader.start();
+		void this._reader.start();
 		this._members.start();
 		const timer = setInterval(() => {
 			this._updateServing();
--- a/src/common/gateway/gateway-settings.ts
+++ b/src/common/gateway/gateway-settings.ts
@@ -14,6 +14,8 @@
 	};
 	/** Peer addresses of instances to find the fleet by, as host:port; some may be stale. */
 	readonly seeds: readonly string[];
+	/** True when the whole site starts for the first time: instances then wait for each other before they read the registry. */
+	readonly isFirstStart: boolean;
 	/** Address of the site's registry, as host:port. */
 	readonly registry: string;
 	readonly limits: {
--- a/src/controllers/gateway/source-reader.ts
+++ b/src/controllers/gateway/source-reader.ts
@@ -12,12 +12,18 @@
 	/** Whether this instance reads for the others of its failure domain. */
 	readonly isReader: () => boolean;
 	readonly random: () => number;
+	/** Whether the first reads wait until peers are known, so that only a few instances read at the first start of a site. */
+	readonly waitsForPeers: boolean;
 };
 
 /** Time between two reads of the list of targets, in ms; with the lag of the list it stays below the 2 s in which a leaving target is left. */
 const readIntervalMs = 500;
 /** Age of the view from which an instance reads for itself, in ms; readers are 0.5 s apart and peers are asked every 0.3 s. */
 const staleAfterMs = 1100;
+/** Time in which instances that start together get to know each other, in ms; callers come 10 s after the first start. */
+const peersKnownMs = 1500;
+/** Pause while there is no configuration yet, in ms. */
+const unconfiguredPauseMs = 400;
 /** Pause after a failed call, in ms, doubled by chance so that instances do not call together. */
 const failedPauseMs = 150;
 
@@ -29,9 +35,12 @@
 	constructor(private readonly _options: SourceReaderOptions) {}
 
 	/** Starts reading; the first reads are this instance's own. */
-	start(): void {
-		void this._runTargets();
-		void this._runConfiguration();
+	async start(): Promise<void> {
+		if (this._options.waitsForPeers) {
+			await this._pause(peersKnownMs);
+		}
+
+		await Promise.all([this._runTargets(), this._runConfiguration()]);
 	}
 
 	dispose(): void {
@@ -40,7 +49,8 @@
 
 	private get _isNeeded(): boolean {
 		const {view, isReader} = this._options;
-		return isReader() || !view.isComplete || view.listAgeMs > staleAfterMs;
+		const isLeftAlone = !this._options.waitsForPeers && !view.isComplete;
+		return isReader() || isLeftAlone || (view.isComplete && view.listAgeMs > staleAfterMs);
 	}
 
 	private async _runTargets(): Promise<void> {
@@ -70,14 +80,14 @@
 				continue;
 			}
 
-			const isRead = await this._readConfiguration();
-			const waited = isRead ? await source.waitForChange() : undefined;
-			if (waited?.isErr()) {
-				this._noteFailure('configuration-changes', waited.error);
-			}
-
-			if (waited === undefined || waited.isErr()) {
-				await this._pause(this._failedPauseMs);
+			if (await this._readConfiguration()) {
+				const waited = await source.waitForChange();
+				if (waited.isErr()) {
+					this._noteFailure('configuration-changes', waited.error);
+					await this._pause(this._failedPauseMs);
+				}
+			} else {
+				await this._pause(unconfiguredPauseMs);
 			}
 		}
 	}
