--- a/src/bin/gateway-daemon.ts
+++ b/src/bin/gateway-daemon.ts
@@ -40,8 +40,6 @@
 const stopReserveMs = 300;
 /** Time for which callers may still come with an older answer after a stop was announced, in ms: three lifetimes of an answer. */
 const keptAnswersMs = 3000;
-/** Time between two checks whether this instance can serve, in ms. */
-const readinessIntervalMs = 50;
 
 /** One gateway instance: all listeners, controllers and filters, wired together. */
 export class GatewayDaemon implements DisposableLike {
@@ -112,14 +110,12 @@
 
 		void this._reader.start();
 		this._members.start();
-		const timer = setInterval(() => {
+		this._store.add(this._view.onConfiguration(() => {
 			this._updateServing();
-		}, readinessIntervalMs);
-		this._store.add({
-			dispose() {
-				clearInterval(timer);
-			},
-		});
+		}));
+		this._store.add(this._view.onTargets(() => {
+			this._updateServing();
+		}));
 		this._options.logger.logInfo('gateway-started', {listeners, filters: this._chain.names});
 		return ok();
 	}
--- a/src/controllers/gateway/entry-controller.ts
+++ b/src/controllers/gateway/entry-controller.ts
@@ -1,6 +1,6 @@
 import type {EntryAnswer} from '../../common/gateway/entry-answer.js';
 import type {EntryQuestion} from '../../common/gateway/entry-question.js';
-import {chooseEntryMembers} from '../../policy/gateway/choose-entry-members.js';
+import {assignEntries} from '../../policy/gateway/assign-entries.js';
 import type {MemberController} from './member-controller.js';
 import type {SiteView} from './site-view.js';
 
@@ -11,26 +11,31 @@
 	readonly failureDomain: string;
 };
 
-/** Instances that callers of one service are sent to, in each failure domain. */
-const entriesPerService = 1;
 /** Time for which an answer holds, in ms; callers keep it up to three times as long, so it bounds how long a lost instance is tried. */
 const lifetimeMs = 1000;
 
-/** Answers which instances callers should connect to. */
+/** Answers which instances callers should connect to: those of their failure domain that serve the service of the host. */
 export class EntryController {
 	constructor(private readonly _options: EntryControllerOptions) {}
 
 	answer(question: EntryQuestion): EntryAnswer {
-		const {members, failureDomain} = this._options;
-		const domain = question.failureDomain === '' ? failureDomain : question.failureDomain;
-		const serving = members.listServing(domain);
-		const chosen = chooseEntryMembers(this._findKey(question.host), serving, entriesPerService);
-		return {addresses: chosen.map(member => member.dataAddress), lifetimeMs};
+		const {members, view, failureDomain} = this._options;
+		const serving = members.listServing(question.failureDomain === '' ? failureDomain : question.failureDomain);
+		const services = this._measureServices();
+		const route = view.configuration?.routes.find(candidate => candidate.host === question.host.toLowerCase());
+		const assigned = assignEntries(services, serving).get(route?.shares[0]?.service ?? '') ?? serving;
+		return {addresses: assigned.map(member => member.dataAddress), lifetimeMs};
 	}
 
-	/** Callers of one host name share entries by the service of its first route. */
-	private _findKey(host: string): string {
-		const route = this._options.view.configuration?.routes.find(candidate => candidate.host === host.toLowerCase());
-		return route?.shares[0]?.service ?? host;
+	private _measureServices(): Array<{name: string; slots: number}> {
+		const slots = new Map((this._options.view.configuration?.services ?? []).map(({name}) => [name, 0]));
+		for (const target of this._options.view.targets) {
+			const counted = slots.get(target.service);
+			if (counted !== undefined) {
+				slots.set(target.service, counted + target.slots);
+			}
+		}
+
+		return [...slots].map(([name, count]) => ({name, slots: count}));
 	}
 }
--- a/src/controllers/gateway/member-controller.ts
+++ b/src/controllers/gateway/member-controller.ts
@@ -18,7 +18,7 @@
 };
 
 /** Time between two rounds, in ms. */
-const roundMs = 250;
+const roundMs = 300;
 /** Rounds between two exchanges with another failure domain; bytes between domains are dear. */
 const remoteEvery = 20;
 /** The same while the own view is older than it should be, as when the whole domain cannot reach the registry. */
@@ -30,7 +30,7 @@
 /** Age of the view from which other domains are asked more often, in ms. */
 const staleMs = 1500;
 /** Silence after which an instance of the same failure domain counts as lost, in ms: three rounds. */
-const localLiveMs = 900;
+const localLiveMs = 1000;
 /** Silence after which an instance of another failure domain counts as lost, in ms: two exchanges. */
 const remoteLiveMs = 12_000;
 /** Silence after which an instance is forgotten, in ms. */
--- a/src/controllers/gateway/service-placer.ts
+++ b/src/controllers/gateway/service-placer.ts
@@ -35,8 +35,13 @@
 };
 type Choice = {readonly place: Place; readonly estimateMs: number; readonly isFree: boolean; readonly isIdle: boolean};
 
-/** Targets that are asked for their load when a request is placed. */
+/** Targets that are asked for their load when a request is placed, and how many of them at a time. */
 const maxCandidates = 9;
+const batchSize = 4;
+/** Age up to which a report tells which targets to ask first, in ms: neighbours on their machines change several times a second. */
+const hintMs = 200;
+/** What a target in another failure domain has to be faster by to be asked first, as a factor of the usual time. */
+const remoteCost = 0.5;
 /** Time for which answers of probes are awaited, in ms: two round trips across failure domains, with the targets' own time. */
 const probeWaitMs = 8;
 /** The same within a failure domain, in ms. */
@@ -170,14 +175,18 @@
 			}
 		}
 
-		if (this._waiters.length > 0 && this._timer === undefined) {
-			this._timer = setTimeout(() => {
-				this._timer = undefined;
-				this._pump();
-			}, lookAgainMs);
+		if (this._waiters.length > 0) {
+			this._waitToLookAgain();
 		}
 	}
 
+	private _waitToLookAgain(): void {
+		this._timer ??= setTimeout(() => {
+			this._timer = undefined;
+			this._pump();
+		}, lookAgainMs);
+	}
+
 	/** Places that this instance's own requests leave free. */
 	private _countFree(): number {
 		const now = this._options.clock.now();
@@ -211,29 +220,29 @@
 		this._waitToLookAgain();
 	}
 
-	private _waitToLookAgain(): void {
-		this._timer ??= setTimeout(() => {
-			this._timer = undefined;
-			this._pump();
-		}, lookAgainMs);
-	}
-
-	/** Asks the targets of the own failure domain first, since bytes between domains are dear, and the others unless one of those is idle. */
+	/** Asks a few targets at a time, those that seem best first, until one of them is idle. */
 	private async _choose(demand: PlacementDemand): Promise<Choice | undefined> {
 		const candidates = this._listCandidates(demand);
 		if (this._reportsLoad === false) {
 			return this._rateAll(candidates);
 		}
 
-		const local = candidates.filter(({record}) => record.target.failureDomain === this._options.failureDomain);
-		await this._probe(local, localProbeWaitMs);
-		const best = this._rateAll(local);
-		if (best?.isIdle) {
-			return best;
+		let asked = 0;
+		let best: Choice | undefined;
+		while (asked < candidates.length && best?.isIdle !== true) {
+			const batch = candidates.slice(asked, asked + batchSize);
+			asked += batch.length;
+			// Each batch is asked only because the one before it had no idle target.
+			// eslint-disable-next-line no-await-in-loop
+			await this._probe(batch, batch.every(place => this._isLocal(place)) ? localProbeWaitMs : probeWaitMs);
+			best = this._rateAll(candidates.slice(0, asked));
 		}
 
-		await this._probe(candidates.filter(candidate => !local.includes(candidate)), probeWaitMs);
-		return this._rateAll(candidates);
+		return best;
+	}
+
+	private _isLocal({record}: Place): boolean {
+		return record.target.failureDomain === this._options.failureDomain;
 	}
 
 	private _rateAll(candidates: readonly Place[]): Choice | undefined {
@@ -251,19 +260,29 @@
 	}
 
 	private _listCandidates({excludedTargets}: PlacementDemand): Place[] {
-		const {clock, failureDomain, random} = this._options;
+		const {clock, random} = this._options;
 		const now = clock.now();
 		const all = [...this._places.values()].filter(({record}) => !excludedTargets.includes(record.target.id));
 		const open = all.filter(({record}) => !record.isBlocked(now));
 		const free = open.filter(({record}) => record.inFlight < record.target.slots);
 		const found = free.length > 0 ? free : (open.length > 0 ? [] : all);
 		return found
-			.map(place => ({place, rank: place.record.inFlight + (place.record.target.failureDomain === failureDomain ? 0 : 0.5) + random()}))
+			.map(place => ({place, rank: this._rankBeforeProbe(place, now) + (random() / 2)}))
 			.sort((a, b) => a.rank - b.rank)
 			.slice(0, maxCandidates)
 			.map(({place}) => place);
 	}
 
+	/** How promising a target is from what is known already; the lowest is asked first. */
+	private _rankBeforeProbe(place: Place, now: number): number {
+		const {record} = place;
+		const reported = record.getLoad(now);
+		const isHint = reported !== undefined && reported.ageMs < hintMs;
+		const slowdown = isHint ? reported.load.slowdown : 1.5;
+		const occupied = Math.max(record.inFlight, isHint ? reported.load.running + reported.load.waiting : 0);
+		return (slowdown * record.getSlowness(now)) + (2 * (occupied / record.target.slots)) + (this._isLocal(place) ? 0 : remoteCost);
+	}
+
 	private async _probe(candidates: readonly Place[], waitMs: number): Promise<void> {
 		const {clock, prober, service} = this._options;
 		const now = clock.now();
--- a/src/controllers/gateway/source-reader.ts
+++ b/src/controllers/gateway/source-reader.ts
@@ -22,6 +22,8 @@
 const staleAfterMs = 1100;
 /** Time in which instances that start together get to know each other, in ms; callers come 10 s after the first start. */
 const peersKnownMs = 1500;
+/** Pause between two checks whether this instance has to read, in ms. */
+const idlePauseMs = 200;
 /** Pause while there is no configuration yet, in ms. */
 const unconfiguredPauseMs = 400;
 /** Pause after a failed call, in ms, doubled by chance so that instances do not call together. */
@@ -67,7 +69,7 @@
 
 				await this._pause(read.isOk() ? readIntervalMs : this._failedPauseMs);
 			} else {
-				await this._pause(readIntervalMs / 5);
+				await this._pause(idlePauseMs);
 			}
 		}
 	}
@@ -76,7 +78,7 @@
 		const {source} = this._options;
 		while (!this._ending.signal.aborted) {
 			if (!this._isNeeded) {
-				await this._pause(readIntervalMs / 5);
+				await this._pause(idlePauseMs);
 				continue;
 			}
 
--- a/src/controllers/gateway/target-prober.ts
+++ b/src/controllers/gateway/target-prober.ts
@@ -1,4 +1,3 @@
-import {Buffer} from 'node:buffer';
 import type {HeaderVocabulary} from '../../common/gateway/header-vocabulary.js';
 import type {TargetClient} from '../../io/gateway/target-client.js';
 import {findHeader} from '../../policy/gateway/find-header.js';
@@ -13,15 +12,13 @@
 	constructor(private readonly _headers: HeaderVocabulary) {}
 
 	/** Sends a health check; undefined when there is no answer in time. */
-	async probe(client: Pick<TargetClient, 'sendRequest'>, healthPath: string, host: string): Promise<TargetProbe | undefined> {
-		const exchange = await client.sendRequest({
-			method: 'GET', path: healthPath, rawHeaders: ['host', host], body: Buffer.alloc(0), signal: AbortSignal.timeout(probeTimeoutMs),
-		});
-		if (exchange.kind !== 'answer') {
+	async probe(client: Pick<TargetClient, 'sendProbe'>, healthPath: string, host: string): Promise<TargetProbe | undefined> {
+		const answer = await client.sendProbe(healthPath, host, probeTimeoutMs);
+		if (answer === undefined) {
 			return undefined;
 		}
 
-		const {status, rawHeaders} = exchange.answer;
+		const {status, rawHeaders} = answer;
 		const targetId = findHeader(rawHeaders, this._headers.targetId);
 		return {isHealthy: status === 200 && targetId !== undefined, targetId, load: parseTargetLoad(findHeader(rawHeaders, this._headers.load))};
 	}
--- a/src/io/gateway/target-client.ts
+++ b/src/io/gateway/target-client.ts
@@ -3,6 +3,7 @@
 	request as openRequest, type ClientRequest, type IncomingMessage, type RequestOptions,
 } from 'node:http';
 import type {DisposableLike} from '../../common/disposable-like.js';
+import type {WholeAnswer} from '../../common/gateway/whole-answer.js';
 import type {OutgoingRequest} from './outgoing-request.js';
 import {TargetAgent} from './target-agent.js';
 import type {TargetExchange} from './target-exchange.js';
@@ -61,6 +62,29 @@
 		});
 	}
 
+	/** Sends a health check and resolves with the head of the answer; undefined when there is none in time. */
+	async sendProbe(path: string, hostHeader: string, timeoutMs: number): Promise<Pick<WholeAnswer, 'status' | 'rawHeaders'> | undefined> {
+		const {host, port} = this._options;
+		return new Promise(resolve => {
+			const request = openRequest({host, port, path, agent: this._agent, headers: {host: hostHeader}});
+			// A timer costs a tenth of an abort signal, and there are several probes a request.
+			const timer = setTimeout(() => {
+				request.destroy();
+			}, timeoutMs);
+			request.on('error', () => {
+				clearTimeout(timer);
+				resolve(undefined);
+			});
+			request.on('response', response => {
+				clearTimeout(timer);
+				response.on('error', () => undefined);
+				response.resume();
+				resolve({status: response.statusCode ?? 0, rawHeaders: response.rawHeaders});
+			});
+			request.end();
+		});
+	}
+
 	dispose(): void {
 		this._agent.destroy();
 	}
--- /dev/null
+++ b/src/policy/gateway/assign-entries.ts
@@ -0,0 +1,54 @@
+import type {GatewayMember} from '../../common/gateway/gateway-member.js';
+import {rankMember} from './rank-member.js';
+
+type ServiceSize = {
+	readonly name: string;
+	/** Requests that the service's targets run at the same time. */
+	readonly slots: number;
+};
+
+const pickBest = (service: string, members: readonly GatewayMember[]): GatewayMember | undefined => {
+	let best: GatewayMember | undefined;
+	let bestRank = -1;
+	for (const member of members) {
+		const rank = rankMember(service, member.id);
+		if (rank > bestRank) {
+			best = member;
+			bestRank = rank;
+		}
+	}
+
+	return best;
+};
+
+/**
+Assigns instances to services as entries: each service gets one, no instance more than its share, and what is left goes where
+an entry has most slots to fill. Instances are picked by rendezvous hashing, so that few callers move when one comes or goes.
+*/
+export const assignEntries = (services: readonly ServiceSize[], members: readonly GatewayMember[]): Map<string, GatewayMember[]> => {
+	const assigned = new Map<string, GatewayMember[]>();
+	if (members.length === 0) {
+		return assigned;
+	}
+
+	const ordered = [...services].sort((a, b) => b.slots - a.slots || (a.name < b.name ? -1 : 1));
+	const mostServices = Math.ceil(ordered.length / members.length);
+	const counts = new Map<string, number>();
+	for (const {name} of ordered) {
+		const entry = pickBest(name, members.filter(({id}) => (counts.get(id) ?? 0) < mostServices));
+		if (entry !== undefined) {
+			assigned.set(name, [entry]);
+			counts.set(entry.id, (counts.get(entry.id) ?? 0) + 1);
+		}
+	}
+
+	let left = members.filter(({id}) => !counts.has(id));
+	while (left.length > 0 && ordered.length > 0) {
+		const needy = ordered.reduce((a, b) => b.slots / (assigned.get(b.name)?.length ?? 1) > a.slots / (assigned.get(a.name)?.length ?? 1) ? b : a);
+		const entry = pickBest(needy.name, left);
+		assigned.get(needy.name)?.push(...(entry === undefined ? [] : [entry]));
+		left = left.filter(member => member !== entry);
+	}
+
+	return assigned;
+};
