--- a/src/controllers/gateway/service-placer.ts
+++ b/src/controllers/gateway/service-placer.ts
@@ -30,8 +30,8 @@
 type Place = {readonly record: TargetRecord; readonly client: TargetClient; readonly probes: RateBudget};
 type Waiter = {
 	readonly demand: PlacementDemand;
-	settle(result: Result<TargetLease, RequestError>): void;
 	isSettled: boolean;
+	settle(result: Result<TargetLease, RequestError>): void;
 };
 type Choice = {readonly place: Place; readonly estimateMs: number; readonly isFree: boolean; readonly isIdle: boolean};
 
@@ -84,7 +84,7 @@
 		const listed = new Map(targets.filter(target => !target.isLeaving).map(target => [`${target.id} ${target.startedAt}`, target]));
 		for (const [key, place] of this._places) {
 			const target = listed.get(key);
-			if (target === undefined || target.host !== place.record.target.host || target.port !== place.record.target.port) {
+			if (target?.host !== place.record.target.host || target.port !== place.record.target.port) {
 				this._places.delete(key);
 				this._disposeWhenIdle(place);
 			}
@@ -233,7 +233,7 @@
 			const batch = candidates.slice(asked, asked + batchSize);
 			asked += batch.length;
 			// Each batch is asked only because the one before it had no idle target.
-			// eslint-disable-next-line no-await-in-loop
+
 			await this._probe(batch, batch.every(place => this._isLocal(place)) ? localProbeWaitMs : probeWaitMs);
 			best = this._rateAll(candidates.slice(0, asked));
 		}
@@ -326,7 +326,9 @@
 			load, inFlight: record.inFlight, usualMs: this._usualMs, isWarming: record.isWarming(now), slowness: record.getSlowness(now), failureRate: record.failureRate,
 		});
 		const isFree = Math.max(load.running + load.waiting, record.inFlight) < load.slots;
-		return {place, estimateMs, isFree, isIdle: isFree && estimateMs <= this._usualMs * idleFactor};
+		return {
+			place, estimateMs, isFree, isIdle: isFree && estimateMs <= this._usualMs * idleFactor,
+		};
 	}
 
 	private _grant(place: Place): TargetLease {
--- a/src/controllers/gateway/source-reader.ts
+++ b/src/controllers/gateway/source-reader.ts
@@ -129,6 +129,10 @@
 	}
 
 	private async _pause(ms: number): Promise<void> {
-		await sleep(ms, undefined, {signal: this._ending.signal}).catch(() => undefined);
+		try {
+			await sleep(ms, undefined, {signal: this._ending.signal});
+		} catch {
+			// The end of the instance cuts the pause short.
+		}
 	}
 }
--- a/src/filters/gateway/attempt-runner.ts
+++ b/src/filters/gateway/attempt-runner.ts
@@ -82,7 +82,8 @@
 				return err(new RequestError(ErrorKind.AnswerCut, `target ${lease.target.id} sent an answer that is not one to this request`));
 			}
 
-			default: {
+			case AttemptEnd.Answered:
+			case AttemptEnd.Failed: {
 				record.apply(TryInput.AnswerWhole);
 				return ok(answer);
 			}
--- a/src/filters/gateway/body-filter.ts
+++ b/src/filters/gateway/body-filter.ts
@@ -27,11 +27,11 @@
 		return next(context);
 	}
 
-	private async _readBody({request, signal}: GatewayContext, limit: number): Promise<Result<Buffer<ArrayBuffer>, RequestError>> {
-		const chunks: Buffer[] = [];
+	private async _readBody({request, signal}: GatewayContext, limit: number): Promise<Result<Uint8Array, RequestError>> {
+		const chunks: Uint8Array[] = [];
 		let length = 0;
 		return new Promise(resolve => {
-			request.on('data', (chunk: Buffer) => {
+			request.on('data', (chunk: Uint8Array) => {
 				chunks.push(chunk);
 				length += chunk.length;
 				if (length > limit) {
--- a/src/filters/gateway/gateway-context.ts
+++ b/src/filters/gateway/gateway-context.ts
@@ -1,4 +1,3 @@
-import {Buffer} from 'node:buffer';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {GatewayRoute} from '../../common/gateway/gateway-route.js';
 import type {RequestError} from '../../common/request-error.js';
@@ -11,7 +10,7 @@
 	/** Set by the route filter. */
 	service = '';
 	/** Set by the body filter. */
-	body = Buffer.alloc(0);
+	body: Uint8Array = new Uint8Array(0);
 	/** Set by the deadline filter: time by which the answer must be whole, on the instance's clock, in ms. */
 	deadlineAt = Number.POSITIVE_INFINITY;
 	/** Targets that the request was sent to. */
--- a/src/io/gateway/send-json.ts
+++ b/src/io/gateway/send-json.ts
@@ -21,8 +21,8 @@
 	const {method, body, agent, timeoutMs} = call;
 	const headers = body === undefined ? {} : {'content-type': 'application/json', 'content-length': Buffer.byteLength(body)};
 	const request = openRequest(url, {method, agent, headers}, response => {
-		const chunks: Buffer[] = [];
-		response.on('data', (chunk: Buffer) => {
+		const chunks: Uint8Array[] = [];
+		response.on('data', (chunk: Uint8Array) => {
 			chunks.push(chunk);
 		});
 		response.on('error', reject);
--- a/src/io/gateway/sync-client.ts
+++ b/src/io/gateway/sync-client.ts
@@ -6,7 +6,6 @@
 import {decodeMember} from './decode-member.js';
 import {encodeMember} from './encode-member.js';
 import {sendJson} from './send-json.js';
-import type {SyncEnvelope} from './sync-envelope.js';
 import type {SyncRouter} from './sync-router.js';
 
 /** Time after which a peer counts as not answering, in ms; a round trip within a site takes 3 ms. */
@@ -21,7 +20,7 @@
 	async exchange(peerAddress: string, message: SyncMessage): Promise<Result<SyncMessage, Error>> {
 		const envelope = {...message, members: message.members.map(member => encodeMember(member))};
 		const exchanged = await fromPromise(this._getClient(peerAddress).sync.mutate(envelope), error => error as Error);
-		return exchanged.map(answer => ({...(answer as SyncEnvelope), members: (answer as SyncEnvelope).members.map(member => decodeMember(member))}));
+		return exchanged.map(answer => ({...(answer), members: (answer).members.map(member => decodeMember(member))}));
 	}
 
 	dispose(): void {
--- a/src/io/gateway/target-agent.ts
+++ b/src/io/gateway/target-agent.ts
@@ -10,7 +10,9 @@
 	}
 
 	override keepSocketAlive(socket: Duplex): boolean {
-		const isKept = (super.keepSocketAlive(socket) as unknown as boolean);
+		// The library's type says void, its documentation boolean.
+		const keep = super.keepSocketAlive.bind(this) as unknown as (socket: Duplex) => boolean;
+		const isKept = keep(socket);
 		if (isKept) {
 			const closeConnection = () => {
 				socket.destroy();
--- a/src/io/gateway/target-client.ts
+++ b/src/io/gateway/target-client.ts
@@ -66,7 +66,11 @@
 	async sendProbe(path: string, hostHeader: string, timeoutMs: number): Promise<Pick<WholeAnswer, 'status' | 'rawHeaders'> | undefined> {
 		const {host, port} = this._options;
 		return new Promise(resolve => {
-			const request = openRequest({host, port, path, agent: this._agent, headers: {host: hostHeader}});
+			const request = openRequest({
+				host, port, path, agent: this._agent, headers: {host: hostHeader},
+			});
+			// Connections stay open by default, and bytes between failure domains are dear.
+			request.removeHeader('connection');
 			// A timer costs a tenth of an abort signal, and there are several probes a request.
 			const timer = setTimeout(() => {
 				request.destroy();
@@ -110,8 +114,8 @@
 	}
 
 	private _collectBody(response: IncomingMessage, resolve: (exchange: TargetExchange) => void): void {
-		const chunks: Buffer[] = [];
-		response.on('data', (chunk: Buffer) => {
+		const chunks: Uint8Array[] = [];
+		response.on('data', (chunk: Uint8Array) => {
 			chunks.push(chunk);
 		});
 		response.on('end', () => {
--- /dev/null
+++ b/src/policy/gateway/assign-entries.test.ts
@@ -0,0 +1,43 @@
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+import type {GatewayMember} from '../../common/gateway/gateway-member.js';
+import {assignEntries} from './assign-entries.js';
+
+const createMembers = (count: number): GatewayMember[] => Array.from({length: count}, (_item, index) => ({
+	id: `e-${index}`, failureDomain: 'd', dataAddress: `h${index}:1`, peerAddress: `h${index}:2`, incarnation: 1, counter: 1, isServing: true,
+}));
+
+const services = [{name: 'a', slots: 80}, {name: 'b', slots: 40}, {name: 'c', slots: 50}, {name: 'd', slots: 48}];
+
+const describeAssignment = (assigned: Map<string, GatewayMember[]>): string[] => {
+	const lines = [...assigned].flatMap(([name, entries]) => entries.map(({id}) => `${name} ${id}`));
+	return lines.sort((a, b) => a.localeCompare(b));
+};
+
+describe('assignEntries', () => {
+	it.each([
+		[0, 0],
+		[1, 4],
+		[3, 4],
+		[4, 4],
+		[6, 6],
+		[12, 12],
+	])('with %i instances assigns %i places, level and none missing', (count, places) => {
+		const assigned = assignEntries(services, createMembers(count));
+		const all = [...assigned.values()].flat();
+		expect(all).toHaveLength(places);
+		expect(assigned.size).toBe(count === 0 ? 0 : services.length);
+		const perMember = createMembers(count).map(member => all.filter(({id}) => id === member.id).length);
+		expect(Math.max(0, ...perMember)).toBeLessThanOrEqual(Math.ceil(services.length / Math.max(1, count)));
+	});
+
+	it('gives what is left to the services with most slots an entry', () => {
+		expect(assignEntries(services, createMembers(5)).get('a')).toHaveLength(2);
+	});
+
+	it('does not depend on the order of its arguments', () => {
+		fc.assert(fc.property(fc.shuffledSubarray(createMembers(9), {minLength: 9}), members => {
+			expect(describeAssignment(assignEntries([...services].reverse(), members))).toEqual(describeAssignment(assignEntries(services, createMembers(9))));
+		}), {seed: 3, numRuns: 50});
+	});
+});
--- a/src/policy/gateway/assign-entries.ts
+++ b/src/policy/gateway/assign-entries.ts
@@ -22,7 +22,7 @@
 };
 
 /**
-Assigns instances to services as entries: each service gets one, no instance more than its share, and what is left goes where
+Assigns instances to services as entries: each service gets one, no instance two more than another, and what is left goes where
 an entry has most slots to fill. Instances are picked by rendezvous hashing, so that few callers move when one comes or goes.
 */
 export const assignEntries = (services: readonly ServiceSize[], members: readonly GatewayMember[]): Map<string, GatewayMember[]> => {
@@ -32,21 +32,23 @@
 	}
 
 	const ordered = [...services].sort((a, b) => b.slots - a.slots || (a.name < b.name ? -1 : 1));
-	const mostServices = Math.ceil(ordered.length / members.length);
-	const counts = new Map<string, number>();
+	const counts = new Map(members.map(({id}) => [id, 0]));
 	for (const {name} of ordered) {
-		const entry = pickBest(name, members.filter(({id}) => (counts.get(id) ?? 0) < mostServices));
+		const fewest = Math.min(...counts.values());
+		const entry = pickBest(name, members.filter(({id}) => counts.get(id) === fewest));
 		if (entry !== undefined) {
 			assigned.set(name, [entry]);
 			counts.set(entry.id, (counts.get(entry.id) ?? 0) + 1);
 		}
 	}
 
-	let left = members.filter(({id}) => !counts.has(id));
+	const countEntries = (name: string) => assigned.get(name)?.length ?? 1;
+	let left = members.filter(({id}) => counts.get(id) === 0);
 	while (left.length > 0 && ordered.length > 0) {
-		const needy = ordered.reduce((a, b) => b.slots / (assigned.get(b.name)?.length ?? 1) > a.slots / (assigned.get(a.name)?.length ?? 1) ? b : a);
-		const entry = pickBest(needy.name, left);
-		assigned.get(needy.name)?.push(...(entry === undefined ? [] : [entry]));
+		const [neediest] = [...ordered].sort((a, b) => (b.slots / countEntries(b.name)) - (a.slots / countEntries(a.name)));
+		const name = neediest?.name ?? '';
+		const entry = pickBest(name, left);
+		assigned.get(name)?.push(...(entry === undefined ? [] : [entry]));
 		left = left.filter(member => member !== entry);
 	}
 
--- /dev/null
+++ b/src/policy/gateway/classify-answer.test.ts
@@ -0,0 +1,25 @@
+import {describe, expect, it} from 'vitest';
+import {AttemptEnd} from '../../common/gateway/attempt-end.js';
+import {classifyAnswer} from './classify-answer.js';
+
+const headers = {
+	requestId: 'x-id', timeoutMs: 'x-timeout', signature: 'x-signature', expectedTarget: 'x-target', targetId: 'x-target-id', load: 'x-load', notRun: 'x-not-run',
+};
+
+describe('classifyAnswer', () => {
+	it.each([
+		['a whole answer', 200, ['X-Id', 'a', 'X-Signature', 's'], AttemptEnd.Answered],
+		['an answer to another request', 200, ['X-Id', 'b', 'X-Signature', 's'], AttemptEnd.Lost],
+		['an answer without an id', 200, ['X-Signature', 's'], AttemptEnd.Lost],
+		['a success without the signature', 200, ['X-Id', 'a'], AttemptEnd.Lost],
+		['a success with an encoding', 200, ['X-Id', 'a', 'X-Signature', 's', 'Content-Encoding', 'gzip'], AttemptEnd.Lost],
+		['a failure of the target', 500, ['X-Id', 'a', 'X-Signature', 's'], AttemptEnd.Failed],
+		['a refusal', 503, ['X-Not-Run', '1'], AttemptEnd.Refused],
+		['a bad request that was not run', 400, ['X-Not-Run', '1'], AttemptEnd.Refused],
+		['another target', 421, [], AttemptEnd.Misdirected],
+		['a 503 that proves nothing', 503, ['X-Id', 'a'], AttemptEnd.Failed],
+		['a client error of the target', 404, ['X-Id', 'a', 'X-Signature', 's'], AttemptEnd.Answered],
+	])('takes %s for what it is', (_name, status, rawHeaders, expected) => {
+		expect(classifyAnswer({status, rawHeaders, body: new Uint8Array(0)}, headers, 'a')).toBe(expected);
+	});
+});
--- a/src/policy/gateway/classify-answer.ts
+++ b/src/policy/gateway/classify-answer.ts
@@ -1,3 +1,4 @@
+import type {AnswerVerdict} from '../../common/gateway/answer-verdict.js';
 import {AttemptEnd} from '../../common/gateway/attempt-end.js';
 import type {HeaderVocabulary} from '../../common/gateway/header-vocabulary.js';
 import type {WholeAnswer} from '../../common/gateway/whole-answer.js';
@@ -12,7 +13,7 @@
 Decides what a whole answer says about an attempt. An answer that does not carry the request's id belongs to another
 request; a success without the target's signature, or with an encoding that nobody asked for, is not the target's.
 */
-export const classifyAnswer = ({status, rawHeaders}: WholeAnswer, headers: HeaderVocabulary, requestId: string | undefined): AttemptEnd => {
+export const classifyAnswer = ({status, rawHeaders}: WholeAnswer, headers: HeaderVocabulary, requestId: string | undefined): AnswerVerdict => {
 	if (status === misdirectedStatus) {
 		return AttemptEnd.Misdirected;
 	}
--- a/src/policy/gateway/compute-text-hash.ts
+++ b/src/policy/gateway/compute-text-hash.ts
@@ -6,7 +6,7 @@
 export const computeTextHash = (text: string): number => {
 	let hash = offsetBasis;
 	for (let index = 0; index < text.length; index++) {
-		hash = Math.imul(hash ^ text.charCodeAt(index), prime); // eslint-disable-line unicorn/prefer-code-point
+		hash = Math.imul(hash ^ text.charCodeAt(index), prime); // eslint-disable-line unicorn/prefer-code-point, no-bitwise
 	}
 
 	hash = Math.imul(hash ^ (hash >>> 16), finalFactor); // eslint-disable-line no-bitwise
--- /dev/null
+++ b/src/policy/gateway/retry-allowance.test.ts
@@ -0,0 +1,51 @@
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+import {RetryAllowance} from './retry-allowance.js';
+
+const options = {ratio: 0.2, slack: 2, windowMs: 10_000};
+
+describe('RetryAllowance', () => {
+	it.each([
+		['the slack alone', 0, 2],
+		['the share of ten requests', 10, 4],
+		['the share of a hundred requests', 100, 22],
+	])('allows %s', (_name, requests, allowed) => {
+		const allowance = new RetryAllowance(options);
+		for (let index = 0; index < requests; index++) {
+			allowance.addRequest(0);
+		}
+
+		let taken = 0;
+		while (allowance.tryTake(1)) {
+			taken++;
+		}
+
+		expect(taken).toBe(allowed);
+	});
+
+	it('never allows more in any window than its requests and the slack', () => {
+		const step = fc.record({gapMs: fc.integer({min: 0, max: 3000}), isRepeat: fc.boolean()});
+		fc.assert(fc.property(fc.array(step, {maxLength: 200}), steps => {
+			const allowance = new RetryAllowance(options);
+			const requests: number[] = [];
+			const repeats: number[] = [];
+			let now = 0;
+			for (const {gapMs, isRepeat} of steps) {
+				now += gapMs;
+				if (!isRepeat) {
+					allowance.addRequest(now);
+					requests.push(now);
+				} else if (allowance.tryTake(now)) {
+					repeats.push(now);
+				}
+			}
+
+			for (const end of repeats) {
+				const inWindow = repeats.filter(at => at <= end && at > end - options.windowMs).length;
+				// Requests are counted in the window or the one before it, as the pieces leave as a whole.
+				const counted = requests.filter(at => at <= end && at > end - (2 * options.windowMs)).length;
+				expect(inWindow).toBeLessThanOrEqual((counted * options.ratio) + options.slack);
+			}
+		}), {seed: 11, numRuns: 300});
+	});
+});
--- a/src/policy/gateway/retry-allowance.ts
+++ b/src/policy/gateway/retry-allowance.ts
@@ -46,7 +46,8 @@
 
 	private _getPiece(now: number): Window {
 		const pieceMs = this._options.windowMs / pieceCount;
-		while (this._pieces.length > 0 && now - (this._pieces[0]?.startedAt ?? 0) > this._options.windowMs) {
+		// A piece holds events up to its end, which must all have left the window.
+		while (this._pieces.length > 0 && now - (this._pieces[0]?.startedAt ?? 0) > this._options.windowMs + pieceMs) {
 			this._pieces.shift();
 		}
 
