--- a/src/bin/gateway-daemon.ts
+++ b/src/bin/gateway-daemon.ts
@@ -115,6 +115,9 @@
 		}));
 		this._store.add(this._view.onTargets(() => {
 			this._updateServing();
+			if (this._members.isHub) {
+				void this._members.announce();
+			}
 		}));
 		this._options.logger.logInfo('gateway-started', {listeners, filters: this._chain.names});
 		return ok();
--- a/src/common/gateway/site-source.ts
+++ b/src/common/gateway/site-source.ts
@@ -9,6 +9,6 @@
 	readConfiguration(): Promise<Result<GatewayConfiguration | undefined, SourceError>>;
 	/** Resolves when the configuration may have changed since the last read or wait, or after the longest wait. */
 	waitForChange(): Promise<Result<void, SourceError>>;
-	/** Reads the list of targets, which may lag behind by less than a second. */
+	/** Reads the list of targets as it is at the registry now. */
 	readTargets(): Promise<Result<TargetList, SourceError>>;
 };
--- a/src/controllers/gateway/service-placer.ts
+++ b/src/controllers/gateway/service-placer.ts
@@ -13,6 +13,7 @@
 import {TargetRecord} from '../../policy/gateway/target-record.js';
 import type {PlacementDemand} from './placement-demand.js';
 import type {TargetLease} from './target-lease.js';
+import type {TargetProbe} from './target-probe.js';
 import type {TargetProber} from './target-prober.js';
 
 type ServicePlacerOptions = {
@@ -263,7 +264,8 @@
 		const {clock, random} = this._options;
 		const now = clock.now();
 		const all = [...this._places.values()].filter(({record}) => !excludedTargets.includes(record.target.id));
-		const open = all.filter(({record}) => !record.isBlocked(now));
+		const healthy = all.filter(({record}) => !record.isUnhealthy(now));
+		const open = (healthy.length > 0 ? healthy : all).filter(({record}) => !record.isBlocked(now));
 		const free = open.filter(({record}) => record.inFlight < record.target.slots);
 		const found = free.length > 0 ? free : (open.length > 0 ? [] : all);
 		return found
@@ -294,13 +296,9 @@
 				record.recordSilence(answeredAt);
 			} else if (probe.targetId !== undefined && probe.targetId !== record.target.id) {
 				record.recordEnd(AttemptEnd.Misdirected, answeredAt);
-			} else if (probe.load !== undefined) {
-				this._reportsLoad = true;
-				record.recordLoad(probe.load, answeredAt);
-			} else if (probe.isHealthy) {
-				this._reportsLoad ??= false;
 			} else {
-				record.recordSilence(answeredAt);
+				record.recordHealth(probe.isHealthy, answeredAt);
+				this._recordReport(record, probe, answeredAt);
 			}
 		});
 		if (probes.length > 0) {
@@ -308,6 +306,15 @@
 		}
 	}
 
+	private _recordReport(record: TargetRecord, {load, isHealthy}: TargetProbe, now: number): void {
+		if (load !== undefined) {
+			this._reportsLoad = true;
+			record.recordLoad(load, now);
+		} else if (isHealthy) {
+			this._reportsLoad ??= false;
+		}
+	}
+
 	private _rate(place: Place, now: number): Choice | undefined {
 		const {record} = place;
 		const {slots} = record.target;
@@ -325,12 +332,16 @@
 		const estimateMs = estimateDuration({
 			load, inFlight: record.inFlight, usualMs: this._usualMs, isWarming: record.isWarming(now), slowness: record.getSlowness(now), failureRate: record.failureRate,
 		});
-		const isFree = Math.max(load.running + load.waiting, record.inFlight) < load.slots;
+		const isFree = Math.max(load.running + load.waiting, record.inFlight) < load.slots && (!record.isUnhealthy(now) || this._areAllUnhealthy(now));
 		return {
 			place, estimateMs, isFree, isIdle: isFree && estimateMs <= this._usualMs * idleFactor,
 		};
 	}
 
+	private _areAllUnhealthy(now: number): boolean {
+		return [...this._places.values()].every(({record}) => record.isUnhealthy(now));
+	}
+
 	private _grant(place: Place): TargetLease {
 		const {clock} = this._options;
 		const {record, client} = place;
--- a/src/controllers/gateway/source-reader.ts
+++ b/src/controllers/gateway/source-reader.ts
@@ -16,10 +16,10 @@
 	readonly waitsForPeers: boolean;
 };
 
-/** Time between two reads of the list of targets, in ms; with the lag of the list it stays below the 2 s in which a leaving target is left. */
-const readIntervalMs = 500;
-/** Age of the view from which an instance reads for itself, in ms; readers are 0.5 s apart and peers are asked every 0.3 s. */
-const staleAfterMs = 1100;
+/** Time between two reads of the list of targets, in ms; with a reader's loss, noticed within 0.6 s, it stays below the 2 s in which a leaving target is left. */
+const readIntervalMs = 1000;
+/** Age of the view from which an instance reads for itself, in ms; reads are 1 s apart and peers are asked every 0.3 s. */
+const staleAfterMs = 1500;
 /** Time in which instances that start together get to know each other, in ms; callers come 10 s after the first start. */
 const peersKnownMs = 1500;
 /** Pause between two checks whether this instance has to read, in ms. */
--- a/src/io/gateway/target-client.ts
+++ b/src/io/gateway/target-client.ts
@@ -4,6 +4,8 @@
 } from 'node:http';
 import type {DisposableLike} from '../../common/disposable-like.js';
 import type {WholeAnswer} from '../../common/gateway/whole-answer.js';
+import {confirmClose} from './confirm-close.js';
+import {hasStatedEnd} from './has-stated-end.js';
 import type {OutgoingRequest} from './outgoing-request.js';
 import {TargetAgent} from './target-agent.js';
 import type {TargetExchange} from './target-exchange.js';
@@ -115,21 +117,27 @@
 
 	private _collectBody(response: IncomingMessage, resolve: (exchange: TargetExchange) => void): void {
 		const chunks: Uint8Array[] = [];
+		const closed = hasStatedEnd(response) ? undefined : confirmClose(response.socket);
 		response.on('data', (chunk: Uint8Array) => {
 			chunks.push(chunk);
 		});
+		const finish = async () => {
+			const isWhole = response.complete && (closed === undefined || await closed);
+			resolve(isWhole
+				? {kind: 'answer', answer: {status: response.statusCode ?? 0, rawHeaders: response.rawHeaders, body: Buffer.concat(chunks)}}
+				: {kind: 'lost', detail: 'the answer was cut'});
+		};
+
 		response.on('end', () => {
-			if (response.complete) {
-				resolve({kind: 'answer', answer: {status: response.statusCode ?? 0, rawHeaders: response.rawHeaders, body: Buffer.concat(chunks)}});
-			} else {
-				resolve({kind: 'lost', detail: 'the answer was cut'});
-			}
+			void finish();
 		});
 		response.on('error', error => {
 			resolve({kind: 'lost', detail: error.message});
 		});
 		response.on('close', () => {
-			resolve({kind: 'lost', detail: 'the answer was cut'});
+			if (!response.complete) {
+				resolve({kind: 'lost', detail: 'the answer was cut'});
+			}
 		});
 	}
 }
--- a/src/policy/gateway/target-record.ts
+++ b/src/policy/gateway/target-record.ts
@@ -11,6 +11,8 @@
 const longestEjectMs = 8000;
 /** Time without probes after one that was not answered, in ms. */
 const silentMs = 250;
+/** Time for which a target that called itself failing or leaving is used only when no other is left, in ms. */
+const unhealthyMs = 1000;
 /** Weight of the newest answer in the measured slowness. */
 const slownessWeight = 0.2;
 const maxSlowness = 10;
@@ -26,6 +28,7 @@
 	private _failureRate = 0;
 	private _ejectCount = 0;
 	private _blockedUntil = Number.NEGATIVE_INFINITY;
+	private _unhealthyUntil = Number.NEGATIVE_INFINITY;
 	private _slowness = 1;
 	private _slownessAt = 0;
 
@@ -65,6 +68,16 @@
 		this._loadAt = now;
 	}
 
+	/** Notes what the target said of its health. */
+	recordHealth(isHealthy: boolean, now: number): void {
+		this._unhealthyUntil = isHealthy ? Number.NEGATIVE_INFINITY : now + unhealthyMs;
+	}
+
+	/** Whether the target said that it is failing or leaving. */
+	isUnhealthy(now: number): boolean {
+		return now < this._unhealthyUntil;
+	}
+
 	/** Notes that a probe was not answered in time. */
 	recordSilence(now: number): void {
 		this._blockedUntil = Math.max(this._blockedUntil, now + silentMs);
