--- a/src/bin/gateway-daemon.ts
+++ b/src/bin/gateway-daemon.ts
@@ -160,7 +160,7 @@
 	private _createChain(): FilterChain<GatewayContext, WholeAnswer> {
 		const {settings, site} = this._options;
 		const placement = this._store.add(new PlacementController({
-			settings, view: this._view, headers: site.headers, clock: systemClock, random: Math.random,
+			settings, view: this._view, headers: site.headers, clock: systemClock, random: Math.random, countInstances: () => this._members.listLive().length,
 		}));
 		return new FilterChain<GatewayContext, WholeAnswer>([
 			new ShutdownFilter(this._shutdown),
--- a/src/controllers/gateway/placement-controller.ts
+++ b/src/controllers/gateway/placement-controller.ts
@@ -19,6 +19,8 @@
 	readonly headers: HeaderVocabulary;
 	readonly clock: Clock;
 	readonly random: () => number;
+	/** Instances that run now, this one included. */
+	readonly countInstances: () => number;
 };
 
 type ServiceState = {readonly placer: ServicePlacer; readonly retries: RetryAllowance};
@@ -86,7 +88,7 @@
 	}
 
 	private _createService(service: GatewayService): ServiceState {
-		const {settings, headers, clock, random} = this._options;
+		const {settings, headers, clock, random, countInstances} = this._options;
 		const {limits, instance} = settings;
 		return {
 			placer: new ServicePlacer({
@@ -96,7 +98,7 @@
 				random,
 				prober: new TargetProber(headers),
 				maxConnections: Math.max(2, Math.floor((service.connectionsPerTarget * usedShare) / maxInstances)),
-				probesPerSecond: limits.probesPerTargetPerSecond * usedShare,
+				getProbeRate: () => (limits.probesPerTargetPerSecond * usedShare) / Math.max(1, countInstances()),
 			}),
 			retries: new RetryAllowance({ratio: limits.retryRatio * usedShare, slack: (limits.retrySlack * usedShare) / maxInstances, windowMs: limits.retryWindowMs}),
 		};
--- a/src/controllers/gateway/service-placer.ts
+++ b/src/controllers/gateway/service-placer.ts
@@ -9,8 +9,10 @@
 import {RequestError} from '../../common/request-error.js';
 import {TargetClient} from '../../io/gateway/target-client.js';
 import {estimateDuration} from '../../policy/gateway/estimate-duration.js';
+import {computeUsableSlots} from '../../policy/gateway/compute-usable-slots.js';
 import {RateBudget} from '../../policy/gateway/rate-budget.js';
 import {TargetRecord} from '../../policy/gateway/target-record.js';
+import {WaitLine} from '../../policy/gateway/wait-line.js';
 import type {PlacementDemand} from './placement-demand.js';
 import type {TargetLease} from './target-lease.js';
 import type {TargetProbe} from './target-probe.js';
@@ -24,13 +26,15 @@
 	readonly prober: TargetProber;
 	/** Connections that this instance may hold to one target. */
 	readonly maxConnections: number;
-	/** Probes that this instance may send to one target, a second. */
-	readonly probesPerSecond: number;
+	/** Probes that this instance may send to one target at this moment, a second. */
+	readonly getProbeRate: () => number;
 };
 
 type Place = {readonly record: TargetRecord; readonly client: TargetClient; readonly probes: RateBudget};
 type Waiter = {
 	readonly demand: PlacementDemand;
+	readonly objectiveAt: number;
+	readonly priority: number;
 	isSettled: boolean;
 	settle(result: Result<TargetLease, RequestError>): void;
 };
@@ -55,23 +59,27 @@
 const lookAgainMs = 25;
 /** Weight of the newest answer in the usual duration. */
 const usualWeight = 0.05;
-/** Requests that wait here, per slot of the service, before more are refused. */
-const queuePerSlot = 1.5;
-/** Share of the time left that a wait for a place may take before the request is refused. */
+/** Time for which unused probes are saved up, in s: the bound holds over a day, and crests last some seconds. */
+const probeBurstSeconds = 5;
+/** Shortest time after which a refused request is worth another try, in ms. */
 const refusalWaitMs = 250;
 
 /** Places the requests of one service: asks a few targets for their load, takes the best, and holds requests while all are busy. */
 export class ServicePlacer implements DisposableLike {
 	private readonly _places = new Map<string, Place>();
-	private readonly _waiters: Waiter[] = [];
+	private readonly _waiters = new WaitLine<Waiter>();
 	private _placingCount = 0;
+	/** Time that work takes on a target that is not slowed, in ms. */
 	private _usualMs: number;
+	/** Time that answers took lately, in ms. */
+	private _meanMs: number;
 	/** Undefined until an answer shows whether the service's targets report their load. */
 	private _reportsLoad: boolean | undefined;
 	private _timer: NodeJS.Timeout | undefined;
 
 	constructor(private readonly _options: ServicePlacerOptions) {
 		this._usualMs = 200;
+		this._meanMs = 200;
 	}
 
 	/** Requests that wait for a place. */
@@ -81,7 +89,7 @@
 
 	/** Takes the service's targets from the newest list; requests in flight at others go on. */
 	updateTargets(targets: readonly GatewayTarget[]): void {
-		const {clock, maxConnections, probesPerSecond} = this._options;
+		const {clock, maxConnections, getProbeRate} = this._options;
 		const listed = new Map(targets.filter(target => !target.isLeaving).map(target => [`${target.id} ${target.startedAt}`, target]));
 		for (const [key, place] of this._places) {
 			const target = listed.get(key);
@@ -96,7 +104,7 @@
 				this._places.set(key, {
 					record: new TargetRecord(target, clock.now()),
 					client: new TargetClient({host: target.host, port: target.port, maxConnections}),
-					probes: new RateBudget(probesPerSecond, clock.now()),
+					probes: new RateBudget({getRate: getProbeRate, burstSeconds: probeBurstSeconds}, clock.now()),
 				});
 			}
 		}
@@ -110,13 +118,17 @@
 			return err(new RequestError(ErrorKind.NoTarget, `service "${demand.service}" has no target`, refusalWaitMs));
 		}
 
-		if (this._waiters.length >= Math.ceil(this._countSlots() * queuePerSlot)) {
-			return err(new RequestError(ErrorKind.QueueFull, `${this._waiters.length} requests of service "${demand.service}" wait already`, refusalWaitMs));
+		const waitMs = this._predictWait();
+		if (waitMs > 0 && this._options.clock.now() + waitMs > demand.objectiveAt - this._usualMs) {
+			const detail = `${this._waiters.length} requests of service "${demand.service}" wait, for about ${Math.round(waitMs)} ms`;
+			return err(new RequestError(ErrorKind.QueueFull, detail, Math.max(refusalWaitMs, waitMs)));
 		}
 
 		return new Promise(resolve => {
 			const waiter: Waiter = {
 				demand,
+				objectiveAt: demand.objectiveAt,
+				priority: demand.priority,
 				isSettled: false,
 				settle(result) {
 					if (!waiter.isSettled) {
@@ -126,9 +138,10 @@
 				},
 			};
 			demand.signal.addEventListener('abort', () => {
+				this._waiters.remove(waiter);
 				waiter.settle(err(demand.signal.reason as RequestError));
 			}, {once: true});
-			this._enqueue(waiter);
+			this._waiters.add(waiter);
 			this._pump();
 		});
 	}
@@ -152,25 +165,25 @@
 		this._places.clear();
 	}
 
-	private _countSlots(): number {
-		let slots = 0;
+	/** Objectives before this time cannot be met by a request that is placed now, in ms. */
+	private get _latestStart(): number {
+		return this._options.clock.now() + this._usualMs;
+	}
+
+	/** Time until a request that comes now would be placed, from the places that this instance's requests free, in ms. */
+	private _predictWait(): number {
+		const ahead = this._waiters.countTimely(this._latestStart);
+		let inFlight = 0;
 		for (const {record} of this._places.values()) {
-			slots += record.target.slots;
+			inFlight += record.inFlight;
 		}
 
-		return slots;
-	}
-
-	private _enqueue(waiter: Waiter): void {
-		const {demand} = waiter;
-		const index = this._waiters.findIndex(({demand: other}) => other.priority > demand.priority
-			|| (other.priority === demand.priority && other.objectiveAt > demand.objectiveAt));
-		this._waiters.splice(index === -1 ? this._waiters.length : index, 0, waiter);
+		return ahead * this._meanMs / Math.max(1, inFlight);
 	}
 
 	private _pump(): void {
 		while (this._waiters.length > 0 && this._placingCount < this._countFree()) {
-			const waiter = this._waiters.shift();
+			const waiter = this._waiters.take(this._latestStart);
 			if (waiter !== undefined && !waiter.isSettled) {
 				void this._place(waiter);
 			}
@@ -194,7 +207,7 @@
 		let free = 0;
 		for (const {record} of this._places.values()) {
 			if (!record.isBlocked(now)) {
-				free += Math.max(0, record.target.slots - record.inFlight);
+				free += Math.max(0, computeUsableSlots(record.target.slots) - record.inFlight);
 			}
 		}
 
@@ -217,7 +230,7 @@
 			return;
 		}
 
-		this._enqueue(waiter);
+		this._waiters.add(waiter);
 		this._waitToLookAgain();
 	}
 
@@ -229,7 +242,7 @@
 		}
 
 		let asked = 0;
-		let best: Choice | undefined;
+		let best = this._rateAll(candidates.filter(({record}) => this._isFresh(record)));
 		while (asked < candidates.length && best?.isIdle !== true) {
 			const batch = candidates.slice(asked, asked + batchSize);
 			asked += batch.length;
@@ -242,6 +255,11 @@
 		return best;
 	}
 
+	/** Whether the target's last report, which also comes with each answer, is as good as a probe. */
+	private _isFresh(record: TargetRecord): boolean {
+		return (record.getLoad(this._options.clock.now())?.ageMs ?? Number.POSITIVE_INFINITY) <= freshMs;
+	}
+
 	private _isLocal({record}: Place): boolean {
 		return record.target.failureDomain === this._options.failureDomain;
 	}
@@ -266,7 +284,7 @@
 		const all = [...this._places.values()].filter(({record}) => !excludedTargets.includes(record.target.id));
 		const healthy = all.filter(({record}) => !record.isUnhealthy(now));
 		const open = (healthy.length > 0 ? healthy : all).filter(({record}) => !record.isBlocked(now));
-		const free = open.filter(({record}) => record.inFlight < record.target.slots);
+		const free = open.filter(({record}) => record.inFlight < computeUsableSlots(record.target.slots));
 		const found = free.length > 0 ? free : (open.length > 0 ? [] : all);
 		return found
 			.map(place => ({place, rank: this._rankBeforeProbe(place, now) + (random() / 2)}))
@@ -288,7 +306,7 @@
 	private async _probe(candidates: readonly Place[], waitMs: number): Promise<void> {
 		const {clock, prober, service} = this._options;
 		const now = clock.now();
-		const probes = candidates.filter(({record, probes}) => (record.getLoad(now)?.ageMs ?? Number.POSITIVE_INFINITY) > freshMs && probes.tryTake(now)).map(async place => {
+		const probes = candidates.filter(({record, probes}) => !this._isFresh(record) && probes.tryTake(now)).map(async place => {
 			const {record, client} = place;
 			const probe = await prober.probe(client, service.healthPath, record.target.id);
 			const answeredAt = clock.now();
@@ -332,7 +350,7 @@
 		const estimateMs = estimateDuration({
 			load, inFlight: record.inFlight, usualMs: this._usualMs, isWarming: record.isWarming(now), slowness: record.getSlowness(now), failureRate: record.failureRate,
 		});
-		const isFree = Math.max(load.running + load.waiting, record.inFlight) < load.slots && (!record.isUnhealthy(now) || this._areAllUnhealthy(now));
+		const isFree = Math.max(load.running + load.waiting, record.inFlight) < computeUsableSlots(load.slots) && (!record.isUnhealthy(now) || this._areAllUnhealthy(now));
 		return {
 			place, estimateMs, isFree, isIdle: isFree && estimateMs <= this._usualMs * idleFactor,
 		};
@@ -349,6 +367,7 @@
 		const slowdown = record.getLoad(startedAt)?.load.slowdown ?? 1;
 		let isReleased = false;
 		record.inFlight++;
+		record.addRunning();
 		return {
 			target: record.target,
 			client,
@@ -379,6 +398,7 @@
 		const expectedMs = Math.max(1, this._usualMs * Math.max(1, slowdown));
 		record.recordSlowness(durationMs / expectedMs, now);
 		this._usualMs += ((durationMs / Math.max(1, slowdown)) - this._usualMs) * usualWeight;
+		this._meanMs += (durationMs - this._meanMs) * usualWeight;
 	}
 
 	private _disposeWhenIdle({record, client}: Place): void {
--- a/src/filters/gateway/gateway-context.ts
+++ b/src/filters/gateway/gateway-context.ts
@@ -13,6 +13,8 @@
 	body: Uint8Array = new Uint8Array(0);
 	/** Set by the deadline filter: time by which the answer must be whole, on the instance's clock, in ms. */
 	deadlineAt = Number.POSITIVE_INFINITY;
+	/** Set by the time limit filter: time within which an answer is worth most, from the caller's first attempt, in ms. */
+	objectiveAt = Number.POSITIVE_INFINITY;
 	/** Targets that the request was sent to. */
 	readonly triedTargets: string[] = [];
 	readonly ledger = new OutcomeLedger();
--- a/src/filters/gateway/repeat-filter.ts
+++ b/src/filters/gateway/repeat-filter.ts
@@ -106,7 +106,7 @@
 
 	private _createDemand(context: GatewayContext, route: GatewayRoute, signal: AbortSignal): PlacementDemand {
 		return {
-			service: context.service, priority: route.priority, objectiveAt: context.receivedAt + route.objectiveMs, deadlineAt: context.deadlineAt, excludedTargets: context.triedTargets, signal,
+			service: context.service, priority: route.priority, objectiveAt: context.objectiveAt, deadlineAt: context.deadlineAt, excludedTargets: context.triedTargets, signal,
 		};
 	}
 
--- a/src/filters/gateway/time-limit-filter.ts
+++ b/src/filters/gateway/time-limit-filter.ts
@@ -15,6 +15,8 @@
 
 /** Sets the deadline of a request, the earlier of the caller's and the route's, and ends the request when it expires or the caller leaves. */
 export class TimeLimitFilter implements GatewayFilter {
+	private readonly _longestStated = new Map<string, number>();
+
 	constructor(private readonly _options: TimeLimitOptions) {}
 
 	get name(): string {
@@ -31,6 +33,7 @@
 
 		const allowanceMs = Math.max(0, Math.min(statedMs, context.route?.timeoutMs ?? 0));
 		context.deadlineAt = context.receivedAt + allowanceMs;
+		context.objectiveAt = context.receivedAt + (context.route?.objectiveMs ?? 0) - this._estimateElapsed(context.route?.name ?? '', statedMs);
 		const timer = setTimeout(() => {
 			const kind = context.isDispatched ? ErrorKind.DeadlineExpiredDispatched : ErrorKind.DeadlineExpiredQueued;
 			context.abort(new RequestError(kind, `no whole answer within ${allowanceMs} ms`));
@@ -43,4 +46,15 @@
 		});
 		return next(context);
 	}
+
+	/** Time since the caller's first attempt: repeats state less time than the most that callers of the route state. */
+	private _estimateElapsed(route: string, statedMs: number): number {
+		if (!Number.isFinite(statedMs)) {
+			return 0;
+		}
+
+		const longestMs = Math.max(statedMs, this._longestStated.get(route) ?? 0);
+		this._longestStated.set(route, longestMs);
+		return longestMs - statedMs;
+	}
 }
--- a/src/policy/gateway/assign-entries.ts
+++ b/src/policy/gateway/assign-entries.ts
@@ -1,17 +1,12 @@
 import type {GatewayMember} from '../../common/gateway/gateway-member.js';
+import type {HostSize} from './host-size.js';
 import {rankMember} from './rank-member.js';
 
-type ServiceSize = {
-	readonly name: string;
-	/** Requests that the service's targets run at the same time. */
-	readonly slots: number;
-};
-
-const pickBest = (service: string, members: readonly GatewayMember[]): GatewayMember | undefined => {
+const pickBest = (host: string, members: readonly GatewayMember[]): GatewayMember | undefined => {
 	let best: GatewayMember | undefined;
 	let bestRank = -1;
 	for (const member of members) {
-		const rank = rankMember(service, member.id);
+		const rank = rankMember(host, member.id);
 		if (rank > bestRank) {
 			best = member;
 			bestRank = rank;
@@ -22,16 +17,16 @@
 };
 
 /**
-Assigns instances to services as entries: each service gets one, no instance two more than another, and what is left goes where
+Assigns instances to host names as entries: each host name gets one, no instance two more than another, and what is left goes where
 an entry has most slots to fill. Instances are picked by rendezvous hashing, so that few callers move when one comes or goes.
 */
-export const assignEntries = (services: readonly ServiceSize[], members: readonly GatewayMember[]): Map<string, GatewayMember[]> => {
+export const assignEntries = (hosts: readonly HostSize[], members: readonly GatewayMember[]): Map<string, GatewayMember[]> => {
 	const assigned = new Map<string, GatewayMember[]>();
 	if (members.length === 0) {
 		return assigned;
 	}
 
-	const ordered = [...services].sort((a, b) => b.slots - a.slots || (a.name < b.name ? -1 : 1));
+	const ordered = [...hosts].sort((a, b) => b.slots - a.slots || (a.name < b.name ? -1 : 1));
 	const counts = new Map(members.map(({id}) => [id, 0]));
 	for (const {name} of ordered) {
 		const fewest = Math.min(...counts.values());
--- a/src/policy/gateway/rate-budget.ts
+++ b/src/policy/gateway/rate-budget.ts
@@ -1,14 +1,22 @@
-/** Allows a number of events a second, with a burst of one second's worth. */
+type RateBudgetOptions = {
+	/** Events a second at this moment. */
+	readonly getRate: () => number;
+	/** Seconds of the rate that may be saved up. */
+	readonly burstSeconds: number;
+};
+
+/** Allows a number of events a second on average. */
 export class RateBudget {
 	private _tokens: number;
 
-	constructor(private readonly _perSecond: number, private _filledAt: number) {
-		this._tokens = _perSecond;
+	constructor(private readonly _options: RateBudgetOptions, private _filledAt: number) {
+		this._tokens = _options.getRate() * _options.burstSeconds;
 	}
 
 	/** Takes one event; false when the rate is used up. */
 	tryTake(now: number): boolean {
-		this._tokens = Math.min(this._perSecond, this._tokens + (((now - this._filledAt) / 1000) * this._perSecond));
+		const rate = this._options.getRate();
+		this._tokens = Math.min(rate * this._options.burstSeconds, this._tokens + (((now - this._filledAt) / 1000) * rate));
 		this._filledAt = now;
 		if (this._tokens < 1) {
 			return false;
--- a/src/policy/gateway/target-record.ts
+++ b/src/policy/gateway/target-record.ts
@@ -63,6 +63,13 @@
 		return 1 + ((this._slowness - 1) * remembered);
 	}
 
+	/** Counts a request that was sent after the last report. */
+	addRunning(): void {
+		if (this._load !== undefined) {
+			this._load = {...this._load, running: this._load.running + 1};
+		}
+	}
+
 	recordLoad(load: TargetLoad, now: number): void {
 		this._load = load;
 		this._loadAt = now;
--- /dev/null
+++ b/src/policy/gateway/wait-line.test.ts
@@ -0,0 +1,35 @@
+import {describe, expect, it} from 'vitest';
+import {WaitLine} from './wait-line.js';
+
+const createLine = (items: ReadonlyArray<readonly [name: string, objectiveAt: number, priority: number]>) => {
+	const line = new WaitLine<{name: string; objectiveAt: number; priority: number}>();
+	for (const [name, objectiveAt, priority] of items) {
+		line.add({name, objectiveAt, priority});
+	}
+
+	return line;
+};
+
+describe('WaitLine', () => {
+	it.each([
+		['the earliest objective', [['a', 300, 1], ['b', 200, 1], ['c', 400, 1]], 100, 'bac'],
+		['the most urgent', [['a', 200, 2], ['b', 300, 1]], 100, 'ba'],
+		['those that can be in time', [['a', 90, 1], ['b', 300, 1], ['c', 50, 1]], 100, 'bca'],
+		['equals in order', [['a', 200, 1], ['b', 200, 1]], 100, 'ab'],
+	] as const)('takes %s first', (_name, items, latestStart, order) => {
+		const line = createLine(items);
+		let taken = '';
+		while (line.length > 0) {
+			taken += line.take(latestStart)?.name ?? '';
+		}
+
+		expect(taken).toBe(order);
+	});
+
+	it('takes a late one now and then', () => {
+		const line = createLine([['late', 50, 1], ...Array.from({length: 20}, (_item, index) => [`t${index}`, 200 + index, 1] as const)]);
+		const taken = Array.from({length: 6}, () => line.take(100)?.name);
+		expect(taken).toContain('late');
+		expect(taken.indexOf('late')).toBe(5);
+	});
+});
--- /dev/null
+++ b/src/policy/gateway/wait-line.ts
@@ -0,0 +1,57 @@
+type Waiting = {
+	/** Time within which an answer is worth most, in ms. */
+	readonly objectiveAt: number;
+	/** Rank; 0 is the most urgent. */
+	readonly priority: number;
+};
+
+/** Of this many requests taken, one is a late one if any waits, so that late ones do not starve. */
+const lateEvery = 6;
+
+const compareWaiting = (a: Waiting, b: Waiting): number => a.priority - b.priority || a.objectiveAt - b.objectiveAt;
+
+/**
+Requests that wait for a place. Those that can still meet their objective go first, the earliest objective first; those that
+cannot follow, with a small share of the places kept for them. Serving late ones in turn would make every request late.
+*/
+export class WaitLine<T extends Waiting> {
+	private readonly _items: T[] = [];
+	private _takenCount = 0;
+
+	get length(): number {
+		return this._items.length;
+	}
+
+	add(item: T): void {
+		const index = this._items.findIndex(other => compareWaiting(other, item) > 0);
+		this._items.splice(index === -1 ? this._items.length : index, 0, item);
+	}
+
+	remove(item: T): void {
+		const index = this._items.indexOf(item);
+		if (index !== -1) {
+			this._items.splice(index, 1);
+		}
+	}
+
+	/**
+	Takes the next request.
+	@param latestStart - Objectives before this time can no longer be met, in ms.
+	*/
+	take(latestStart: number): T | undefined {
+		this._takenCount++;
+		const timely = this._items.find(item => item.objectiveAt >= latestStart);
+		const late = this._items.find(item => item.objectiveAt < latestStart);
+		const next = this._takenCount % lateEvery === 0 ? late ?? timely : timely ?? late;
+		if (next !== undefined) {
+			this.remove(next);
+		}
+
+		return next;
+	}
+
+	/** Counts the requests that can still meet their objective. */
+	countTimely(latestStart: number): number {
+		return this._items.filter(item => item.objectiveAt >= latestStart).length;
+	}
+}
