--- a/src/controllers/gateway/service-placer.ts
+++ b/src/controllers/gateway/service-placer.ts
@@ -9,7 +9,6 @@
 import {RequestError} from '../../common/request-error.js';
 import {TargetClient} from '../../io/gateway/target-client.js';
 import {estimateDuration} from '../../policy/gateway/estimate-duration.js';
-import {computeUsableSlots} from '../../policy/gateway/compute-usable-slots.js';
 import {RateBudget} from '../../policy/gateway/rate-budget.js';
 import {TargetRecord} from '../../policy/gateway/target-record.js';
 import {WaitLine} from '../../policy/gateway/wait-line.js';
@@ -207,7 +206,7 @@
 		let free = 0;
 		for (const {record} of this._places.values()) {
 			if (!record.isBlocked(now)) {
-				free += Math.max(0, computeUsableSlots(record.target.slots) - record.inFlight);
+				free += Math.max(0, record.target.slots - record.inFlight);
 			}
 		}
 
@@ -284,7 +283,7 @@
 		const all = [...this._places.values()].filter(({record}) => !excludedTargets.includes(record.target.id));
 		const healthy = all.filter(({record}) => !record.isUnhealthy(now));
 		const open = (healthy.length > 0 ? healthy : all).filter(({record}) => !record.isBlocked(now));
-		const free = open.filter(({record}) => record.inFlight < computeUsableSlots(record.target.slots));
+		const free = open.filter(({record}) => record.inFlight < record.target.slots);
 		const found = free.length > 0 ? free : (open.length > 0 ? [] : all);
 		return found
 			.map(place => ({place, rank: this._rankBeforeProbe(place, now) + (random() / 2)}))
@@ -350,7 +349,7 @@
 		const estimateMs = estimateDuration({
 			load, inFlight: record.inFlight, usualMs: this._usualMs, isWarming: record.isWarming(now), slowness: record.getSlowness(now), failureRate: record.failureRate,
 		});
-		const isFree = Math.max(load.running + load.waiting, record.inFlight) < computeUsableSlots(load.slots) && (!record.isUnhealthy(now) || this._areAllUnhealthy(now));
+		const isFree = Math.max(load.running + load.waiting, record.inFlight) < load.slots && (!record.isUnhealthy(now) || this._areAllUnhealthy(now));
 		return {
 			place, estimateMs, isFree, isIdle: isFree && estimateMs <= this._usualMs * idleFactor,
 		};
--- a/src/policy/gateway/estimate-duration.ts
+++ b/src/policy/gateway/estimate-duration.ts
@@ -1,5 +1,4 @@
 import type {TargetLoad} from '../../common/gateway/target-load.js';
-import {knee} from './knee.js';
 
 type Estimate = {
 	readonly load: TargetLoad;
@@ -18,6 +17,9 @@
 const reportHoldsMs = 150;
 /** Slowdown that is expected afterwards, as a factor of the usual time. */
 const averageSlowdown = 1.75;
+/** Occupied share of its slots above which a target slows down, and by how much; figures of the users' sites. */
+const kneeShare = 0.8;
+const kneeFactor = 1.7;
 /** Slowdown of a target that has just started. */
 const warmUpFactor = 2;
 /** Cost of a failure in units of the expected duration: the request has to be sent again, later. */
@@ -29,7 +31,7 @@
 	const occupied = Math.max(load.running + load.waiting, estimate.inFlight);
 	const withinReport = reportHoldsMs / load.slowdown;
 	const nominal = usualMs <= withinReport ? usualMs * load.slowdown : reportHoldsMs + ((usualMs - withinReport) * averageSlowdown);
-	const crowding = (occupied + 1) / load.slots > knee.share ? knee.factor : 1;
+	const crowding = (occupied + 1) / load.slots > kneeShare ? kneeFactor : 1;
 	const warm = estimate.isWarming ? warmUpFactor : 1;
 	const work = nominal * crowding * warm * estimate.slowness;
 	const ahead = Math.max(0, occupied + 1 - load.slots);
