--- a/src/bin/gateway-daemon.ts
+++ b/src/bin/gateway-daemon.ts
@@ -18,12 +18,14 @@
 import {AttemptRunner} from '../filters/gateway/attempt-runner.js';
 import {BodyFilter} from '../filters/gateway/body-filter.js';
 import {GatewayContext} from '../filters/gateway/gateway-context.js';
+import {LogFilter} from '../filters/gateway/log-filter.js';
 import {RepeatFilter} from '../filters/gateway/repeat-filter.js';
 import {RouteFilter} from '../filters/gateway/route-filter.js';
 import {SendAnswerFilter} from '../filters/gateway/send-answer-filter.js';
 import {TimeLimitFilter} from '../filters/gateway/time-limit-filter.js';
 import {OutcomeFilter} from '../filters/outcome-filter.js';
 import {ShutdownFilter} from '../filters/shutdown-filter.js';
+import {BoundedLogger} from '../io/gateway/bounded-logger.js';
 import {createSyncRouter} from '../io/gateway/create-sync-router.js';
 import {parseAddress} from '../io/gateway/parse-address.js';
 import {SyncClient} from '../io/gateway/sync-client.js';
@@ -36,6 +38,9 @@
 	readonly logger: Logger;
 };
 
+/** Log lines a second for requests that failed, were refused or sent twice, and for all others; a line takes 0.1 ms. */
+const notableLinesPerSecond = 50;
+const ordinaryLinesPerSecond = 5;
 /** Time before the end of a planned stop at which requests that are still in flight are ended, in ms. */
 const stopReserveMs = 300;
 /** Time for which callers may still come with an older answer after a stop was announced, in ms: three lifetimes of an answer. */
@@ -162,8 +167,15 @@
 		const placement = this._store.add(new PlacementController({
 			settings, view: this._view, headers: site.headers, clock: systemClock, random: Math.random, countInstances: () => this._members.listLive().length,
 		}));
+		const {logger} = this._options;
 		return new FilterChain<GatewayContext, WholeAnswer>([
 			new ShutdownFilter(this._shutdown),
+			new LogFilter({
+				notable: new BoundedLogger({logger, clock: systemClock, linesPerSecond: notableLinesPerSecond}),
+				ordinary: new BoundedLogger({logger, clock: systemClock, linesPerSecond: ordinaryLinesPerSecond}),
+				view: this._view,
+				clock: systemClock,
+			}),
 			new SendAnswerFilter(),
 			new OutcomeFilter(),
 			new RouteFilter(this._view),
--- a/src/controllers/gateway/service-placer.ts
+++ b/src/controllers/gateway/service-placer.ts
@@ -363,12 +363,14 @@
 		const {clock} = this._options;
 		const {record, client} = place;
 		const startedAt = clock.now();
-		const slowdown = record.getLoad(startedAt)?.load.slowdown ?? 1;
+		const report = record.getLoad(startedAt);
+		const slowdown = report?.load.slowdown ?? 1;
 		let isReleased = false;
 		record.inFlight++;
 		record.addRunning();
 		return {
 			target: record.target,
+			report,
 			client,
 			release: (end, load) => {
 				if (isReleased) {
--- a/src/controllers/gateway/target-lease.ts
+++ b/src/controllers/gateway/target-lease.ts
@@ -6,6 +6,8 @@
 /** The right to send one request to one target; it is released exactly once. */
 export type TargetLease = {
 	readonly target: GatewayTarget;
+	/** The load report that decided, and its age in ms; undefined without one. */
+	readonly report: {readonly load: TargetLoad; readonly ageMs: number} | undefined;
 	readonly client: Pick<TargetClient, 'sendRequest'>;
 	/**
 	Gives the place back.
--- a/src/filters/gateway/attempt-runner.ts
+++ b/src/filters/gateway/attempt-runner.ts
@@ -42,6 +42,7 @@
 		}
 
 		context.triedTargets.push(lease.target.id);
+		const noted = this._noteEnd(context, lease);
 		record.apply(TryInput.Dispatch);
 		const exchange = await lease.client.sendRequest({
 			method: context.request.method ?? 'GET', path: context.request.url ?? '/', rawHeaders: this._createHeaders(context, lease), body: context.body, signal,
@@ -49,22 +50,41 @@
 		switch (exchange.kind) {
 			case 'unsent': {
 				record.apply(TryInput.Unwritten);
-				lease.release(signal.aborted ? AttemptEnd.Cancelled : AttemptEnd.ConnectFailed);
+				noted.release(signal.aborted ? AttemptEnd.Cancelled : AttemptEnd.ConnectFailed);
 				return err(new RequestError(ErrorKind.ConnectFailed, `target ${lease.target.id}: ${exchange.detail}`));
 			}
 
 			case 'lost': {
 				record.apply(TryInput.Lost);
-				lease.release(signal.aborted ? AttemptEnd.Cancelled : AttemptEnd.Lost);
+				noted.release(signal.aborted ? AttemptEnd.Cancelled : AttemptEnd.Lost);
 				return err(this._explainLoss(context, lease, exchange.detail));
 			}
 
 			case 'answer': {
-				return this._judge(context, lease, record, exchange.answer);
+				return this._judge(context, noted, record, exchange.answer);
 			}
 		}
 	}
 
+	/** Makes the release of the lease leave a note of the attempt. */
+	private _noteEnd(context: GatewayContext, lease: TargetLease): TargetLease {
+		const {clock} = this._options;
+		const startedAt = clock.now();
+		return {
+			...lease,
+			release(end, load) {
+				context.attempts.push({
+					target: lease.target.id,
+					end,
+					afterMs: Math.round(startedAt - context.receivedAt),
+					tookMs: Math.round(clock.now() - startedAt),
+					...(lease.report !== undefined && {slowdown: lease.report.load.slowdown, reportAgeMs: Math.round(lease.report.ageMs)}),
+				});
+				lease.release(end, load);
+			},
+		};
+	}
+
 	private _judge(context: GatewayContext, lease: TargetLease, record: TryRecord, answer: WholeAnswer): Result<WholeAnswer, RequestError> {
 		const {headers} = this._options;
 		const end = classifyAnswer(answer, headers, context.requestId);
--- a/src/filters/gateway/gateway-context.ts
+++ b/src/filters/gateway/gateway-context.ts
@@ -2,6 +2,7 @@
 import type {GatewayRoute} from '../../common/gateway/gateway-route.js';
 import type {RequestError} from '../../common/request-error.js';
 import {OutcomeLedger} from '../../policy/outcome-ledger.js';
+import type {AttemptNote} from './attempt-note.js';
 
 /** What the filters know of one request; each filter fills in its own fields. */
 export class GatewayContext {
@@ -17,6 +18,8 @@
 	objectiveAt = Number.POSITIVE_INFINITY;
 	/** Targets that the request was sent to. */
 	readonly triedTargets: string[] = [];
+	/** Ended attempts, for the log. */
+	readonly attempts: AttemptNote[] = [];
 	readonly ledger = new OutcomeLedger();
 	private readonly _abort = new AbortController();
 
--- /dev/null
+++ b/src/filters/gateway/log-filter.ts
@@ -0,0 +1,58 @@
+import type {Result} from 'neverthrow';
+import type {Clock} from '../../common/clock.js';
+import type {WholeAnswer} from '../../common/gateway/whole-answer.js';
+import type {Logger} from '../../common/logger.js';
+import type {RequestError} from '../../common/request-error.js';
+import type {SiteView} from '../../controllers/gateway/site-view.js';
+import type {GatewayContext} from './gateway-context.js';
+import type {GatewayFilter} from './gateway-filter.js';
+import type {GatewayNext} from './gateway-next.js';
+import type {GatewayResult} from './gateway-result.js';
+
+type LogFilterOptions = {
+	/** Takes requests that failed, were refused or were sent more than once. */
+	readonly notable: Logger;
+	/** Takes all others. */
+	readonly ordinary: Logger;
+	readonly view: SiteView;
+	readonly clock: Clock;
+};
+
+const firstServerError = 500;
+
+/** Writes one line for each request with what decided it, so that its end can be explained afterwards. */
+export class LogFilter implements GatewayFilter {
+	constructor(private readonly _options: LogFilterOptions) {}
+
+	get name(): string {
+		return 'log';
+	}
+
+	async handleRequest(context: GatewayContext, next: GatewayNext): GatewayResult {
+		const result = await next(context);
+		const isOrdinary = result.isOk() && result.value.status < firstServerError && context.attempts.length === 1;
+		const {notable, ordinary} = this._options;
+		const logger = isOrdinary ? ordinary : notable;
+		logger.logInfo(isOrdinary ? 'request-answered' : 'request-explained', this._describe(context, result));
+		return result;
+	}
+
+	private _describe(context: GatewayContext, result: Result<WholeAnswer, RequestError>): Record<string, unknown> {
+		const {view, clock} = this._options;
+		const end = result.isOk()
+			? {status: result.value.status}
+			: {error: result.error.kind, detail: result.error.detail, ...(result.error.retryAfterMs !== undefined && {retryAfterMs: Math.round(result.error.retryAfterMs)})};
+		return {
+			request: context.requestId,
+			route: context.route?.name,
+			service: context.service,
+			...end,
+			outcome: context.ledger.outcome,
+			tookMs: Math.round(clock.now() - context.receivedAt),
+			timeLeftMs: Math.round(context.deadlineAt - clock.now()),
+			attempts: context.attempts,
+			configurationVersion: view.version.configuration,
+			targetsAgeMs: view.version.listAgeMs,
+		};
+	}
+}
--- a/src/io/debug-logger.ts
+++ b/src/io/debug-logger.ts
@@ -11,19 +11,22 @@
 const describeField = (_key: string, value: unknown): unknown => value instanceof Error ? value.message : value;
 
 /**
-Writes events as JSON lines to standard error through the `debug` library.
+Writes events as JSON lines through the `debug` library.
 Each event goes to the namespace `rattansill:<component>:<level>`, which the settings switch on or off.
 */
 export class DebugLogger implements Logger {
-	/** Selects the namespaces that are printed, for the whole process. */
-	static enableNamespaces(namespaces: string): void {
+	/**
+	Selects the namespaces that are printed, for the whole process.
+	@param stream - Where lines go; standard error by default.
+	*/
+	static enableNamespaces(namespaces: string, stream: NodeJS.WriteStream = process.stderr): void {
 		createDebug.formatArgs = () => undefined;
 		// A reader that has gone away must not end the process.
-		process.stderr.on('error', () => undefined);
+		stream.on('error', () => undefined);
 		createDebug.log = (...parts: unknown[]) => {
 			// A reader that has stopped reading must not make the process grow; the lines are lost.
-			if (process.stderr.writableLength < maxWaitingBytes) {
-				process.stderr.write(`${format(...parts)}\n`);
+			if (stream.writableLength < maxWaitingBytes) {
+				stream.write(`${format(...parts)}\n`);
 			}
 		};
 
