--- a/src/controllers/gateway/service-placer.ts
+++ b/src/controllers/gateway/service-placer.ts
@@ -117,6 +117,10 @@
 			return err(new RequestError(ErrorKind.NoTarget, `service "${demand.service}" has no target`, refusalWaitMs));
 		}
 
+		if ([...this._places.values()].every(({record}) => demand.excludedTargets.includes(record.target.id))) {
+			return err(new RequestError(ErrorKind.NoTarget, `each of the ${this._places.size} targets of service "${demand.service}" was tried`, refusalWaitMs));
+		}
+
 		const waitMs = this._predictWait();
 		if (waitMs > 0 && this._options.clock.now() + waitMs > demand.objectiveAt - this._usualMs) {
 			const detail = `${this._waiters.length} requests of service "${demand.service}" wait, for about ${Math.round(waitMs)} ms`;
