--- a/src/bin/gateway-daemon.ts
+++ b/src/bin/gateway-daemon.ts
@@ -78,7 +78,6 @@
 			view: this._view,
 			clock: systemClock,
 			logger,
-			random: Math.random,
 		}));
 		this._reader = this._store.add(new SourceReader({
 			source: site.source, view: this._view, logger, random: Math.random, isReader: () => this._members.isHub, waitsForPeers: settings.isFirstStart,
@@ -181,7 +180,7 @@
 			new RouteFilter(this._view),
 			new TimeLimitFilter({clock: systemClock, timeoutHeader: site.headers.timeoutMs}),
 			new BodyFilter(this._view),
-			new RepeatFilter({placement, clock: systemClock, runner: new AttemptRunner({headers: site.headers, clock: systemClock})}),
+			new RepeatFilter({placement, runner: new AttemptRunner({headers: site.headers, clock: systemClock})}),
 		]);
 	}
 
--- a/src/common/gateway/gateway-settings.ts
+++ b/src/common/gateway/gateway-settings.ts
@@ -21,8 +21,6 @@
 	readonly limits: {
 		/** Time from the signal of a planned stop to the end of the process, in ms. */
 		readonly stopMs: number;
-		/** Time by which a leaving target gets no more requests, in ms. */
-		readonly drainMs: number;
 		/** Repeated requests allowed as a share of first ones, for the whole fleet. */
 		readonly retryRatio: number;
 		/** Repeated requests allowed besides, for the whole fleet, in one window. */
--- a/src/controllers/gateway/member-controller.ts
+++ b/src/controllers/gateway/member-controller.ts
@@ -14,7 +14,6 @@
 	readonly view: SiteView;
 	readonly clock: Clock;
 	readonly logger: Logger;
-	readonly random: () => number;
 };
 
 /** Time between two rounds, in ms. */
--- a/src/filters/gateway/repeat-filter.ts
+++ b/src/filters/gateway/repeat-filter.ts
@@ -1,5 +1,4 @@
 import {err, type Result} from 'neverthrow';
-import type {Clock} from '../../common/clock.js';
 import {ErrorKind} from '../../common/error-kind.js';
 import {AttemptEnd} from '../../common/gateway/attempt-end.js';
 import type {GatewayRoute} from '../../common/gateway/gateway-route.js';
@@ -16,7 +15,6 @@
 type RepeatOptions = {
 	readonly placement: PlacementController;
 	readonly runner: AttemptRunner;
-	readonly clock: Clock;
 };
 
 type Attempted = Result<WholeAnswer, RequestError>;
