Judge a target by its load at the start of the work, and send only where the load is known

Change: one start factor; a target runs the number of requests at which it completes most (4 of 6 slots, 2 of 2); a request that can still be in time does not start where it would be late; a report with an answer no longer counts the answered request; probes to one target are shared by those who wait. The placer is split into pool, placer and policies.

--- a/src/controllers/gateway/placement-controller.ts
+++ b/src/controllers/gateway/placement-controller.ts
@@ -11,6 +11,7 @@
 import {ServicePlacer} from './service-placer.js';
 import type {SiteView} from './site-view.js';
 import type {TargetLease} from './target-lease.js';
+import {TargetPool} from './target-pool.js';
 import {TargetProber} from './target-prober.js';
 
 type PlacementControllerOptions = {
@@ -23,7 +24,7 @@
 	readonly countInstances: () => number;
 };
 
-type ServiceState = {readonly placer: ServicePlacer; readonly retries: RetryAllowance};
+type ServiceState = {readonly pool: TargetPool; readonly placer: ServicePlacer; readonly retries: RetryAllowance};
 
 /** Instances for which a share of a bound is kept free, running or added; sites of this kind have up to 22. */
 const maxInstances = 24;
@@ -65,41 +66,50 @@
 	}
 
 	dispose(): void {
-		for (const {placer} of this._services.values()) {
+		for (const {placer, pool} of this._services.values()) {
 			placer.dispose();
+			pool.dispose();
 		}
 	}
 
 	private _update(): void {
 		const {view} = this._options;
 		const services = new Map((view.configuration?.services ?? []).map(service => [service.name, service]));
-		for (const [name, {placer}] of this._services) {
+		for (const [name, {placer, pool}] of this._services) {
 			if (!services.has(name)) {
 				this._services.delete(name);
 				placer.dispose();
+				pool.dispose();
 			}
 		}
 
 		for (const service of services.values()) {
 			const state = this._services.get(service.name) ?? this._createService(service);
 			this._services.set(service.name, state);
-			state.placer.updateTargets(view.targets.filter(target => target.service === service.name));
+			state.pool.update(view.targets.filter(target => target.service === service.name));
+			state.placer.placeWaiting();
 		}
 	}
 
 	private _createService(service: GatewayService): ServiceState {
 		const {settings, headers, clock, random, countInstances} = this._options;
 		const {limits, instance} = settings;
+		const pool = new TargetPool({
+			service,
+			failureDomain: instance.failureDomain,
+			clock,
+			random,
+			prober: new TargetProber(headers),
+			maxConnections: Math.max(2, Math.floor((service.connectionsPerTarget * usedShare) / maxInstances)),
+			getProbeRate: () => (limits.probesPerTargetPerSecond * usedShare) / Math.max(1, countInstances()),
+			onRelease() {
+				placer.placeWaiting();
+			},
+		});
+		const placer = new ServicePlacer({pool, clock});
 		return {
-			placer: new ServicePlacer({
-				service,
-				failureDomain: instance.failureDomain,
-				clock,
-				random,
-				prober: new TargetProber(headers),
-				maxConnections: Math.max(2, Math.floor((service.connectionsPerTarget * usedShare) / maxInstances)),
-				getProbeRate: () => (limits.probesPerTargetPerSecond * usedShare) / Math.max(1, countInstances()),
-			}),
+			pool,
+			placer,
 			retries: new RetryAllowance({ratio: limits.retryRatio * usedShare, slack: (limits.retrySlack * usedShare) / maxInstances, windowMs: limits.retryWindowMs}),
 		};
 	}
--- /dev/null
+++ b/src/controllers/gateway/target-place.ts
@@ -0,0 +1,12 @@
+import type {RateBudget} from '../../policy/gateway/rate-budget.js';
+import type {TargetRecord} from '../../policy/gateway/target-record.js';
+import type {TargetClient} from '../../io/gateway/target-client.js';
+
+/** One target of a service as this instance uses it. */
+export type TargetPlace = {
+	readonly record: TargetRecord;
+	readonly client: TargetClient;
+	readonly probes: RateBudget;
+	/** The probe that is under way; whoever needs one meanwhile waits for it. */
+	probing: Promise<void> | undefined;
+};
--- /dev/null
+++ b/src/policy/gateway/can-take-place.ts
@@ -0,0 +1,29 @@
+type Prospect = {
+	/** Expected duration at the place that is free, in ms. */
+	readonly estimateMs: number;
+	/** Expected duration at an idle target, in ms. */
+	readonly usualMs: number;
+	readonly objectiveAt: number;
+	readonly deadlineAt: number;
+};
+
+/** Expected duration, as a factor of the usual one, up to which a late request takes a place: it would hold a slow one for long. */
+const lateFactor = 1.8;
+/** Time left, as a factor of the expected duration, below which a late request takes any place rather than none. */
+const lastChanceFactor = 1.5;
+
+/**
+Decides whether a request takes a free place or waits for a better one. One that can still meet its objective does not start where
+it could not; one that cannot any more leaves slow places alone until its time runs short.
+*/
+export const canTakePlace = ({estimateMs, usualMs, objectiveAt, deadlineAt}: Prospect, now: number): boolean => {
+	if (now + estimateMs <= objectiveAt) {
+		return true;
+	}
+
+	if (now + usualMs <= objectiveAt) {
+		return false;
+	}
+
+	return estimateMs <= usualMs * lateFactor || now + (estimateMs * lastChanceFactor) >= deadlineAt;
+};
--- /dev/null
+++ b/src/policy/gateway/compute-target-limit.test.ts
@@ -0,0 +1,16 @@
+import {describe, expect, it} from 'vitest';
+import {computeTargetLimit} from './compute-target-limit.js';
+
+describe('computeTargetLimit', () => {
+	it.each([
+		[1, 1],
+		[2, 2],
+		[3, 2],
+		[4, 3],
+		[6, 4],
+		[10, 8],
+		[32, 25],
+	])('of %i slots uses %i', (slots, limit) => {
+		expect(computeTargetLimit(slots)).toBe(limit);
+	});
+});
--- /dev/null
+++ b/src/policy/gateway/work-times.test.ts
@@ -0,0 +1,17 @@
+import {describe, expect, it} from 'vitest';
+import {WorkTimes} from './work-times.js';
+
+describe('WorkTimes', () => {
+	it.each([
+		['the usual time without the slowdown of the start', [[400, 4], [100, 1], [170, 1.7]], 100],
+		['long requests by a bounded weight', [[100, 1], [100, 1], [10_000, 1]], 200],
+	] as const)('learns %s', (_name, answers, usualMs) => {
+		const times = new WorkTimes();
+		for (const [durationMs, startFactor] of answers) {
+			times.record(durationMs, startFactor);
+		}
+
+		expect(times.usualMs).toBeGreaterThan(usualMs * 0.7);
+		expect(times.usualMs).toBeLessThan(usualMs * 1.3);
+	});
+});
