Ask the own failure domain's targets first by themselves, and start nothing that would be cut

Change: the first batch holds only targets of the own domain; targets with an open connection are asked before others; a late request starts only what can end before its deadline; a target that just reported no room or a slowdown is not asked again for 80 ms; unused probes may be saved up for 10 s.

--- a/src/controllers/gateway/target-pool.ts
+++ b/src/controllers/gateway/target-pool.ts
@@ -38,19 +38,27 @@
 /** Age up to which a report tells which targets to ask first, in ms: neighbours on their machines change several times a second. */
 const hintMs = 200;
 /** What a target in another failure domain has to be faster by to be asked first, as a factor of the usual time. */
-const remoteCost = 0.5;
+const remoteCost = 1;
+/** What a target to which no connection is open has to be faster by, likewise; connections are priced. */
+const connectCost = 0.25;
+/** Largest chance part of a rank, likewise, so that instances do not all ask the same targets. */
+const rankSpread = 0.5;
 /** Time for which answers of probes are awaited, in ms: two round trips across failure domains, with the targets' own time. */
 const probeWaitMs = 8;
 /** The same within a failure domain, in ms. */
 const localProbeWaitMs = 3;
 /** Slowdown up to which a target counts as idle, as a factor of the usual time. */
 const idleFactor = 1.3;
+/** Age up to which a report that shows no room, or a slowed target, spares another probe, in ms: a third of the time between changes. */
+const hopelessMs = 80;
+/** Slowdown from which a target is left alone for a while, as a factor of the usual time. */
+const slowedFactor = 2;
 /** Age up to which a report is as good as a probe, in ms. */
 const freshMs = 5;
 /** Slowdown that is assumed of a target that has reported none. */
 const unknownSlowdown = 1.5;
 /** Time for which unused probes are saved up, in s: the bound holds over a day, and crests last some seconds. */
-const probeBurstSeconds = 5;
+const probeBurstSeconds = 10;
 /** Time between two checks whether a target that has left is still at work, in ms. */
 const disposePollMs = 1000;
 
@@ -113,11 +121,11 @@
 
 	/** Asks a few targets at a time, those first that seem best, until one of them is idle; undefined when none has room. */
 	async chooseAsked(excludedTargets: readonly string[]): Promise<TargetChoice | undefined> {
-		const candidates = this._listCandidates(excludedTargets).slice(0, maxCandidates);
+		const candidates = this._listCandidates(excludedTargets).filter(({record}) => !this._isHopeless(record)).slice(0, maxCandidates);
 		let asked = 0;
 		let best = this._rateAll(candidates);
 		while (this._reportsLoad !== false && asked < candidates.length && best?.isIdle !== true) {
-			const batch = candidates.slice(asked, asked + batchSize);
+			const batch = this._cutBatch(candidates, asked);
 			asked += batch.length;
 			await this._probeAll(batch);
 			best = this._rateAll(candidates);
@@ -172,6 +180,24 @@
 		return (record.getLoad(this._options.clock.now())?.ageMs ?? Number.POSITIVE_INFINITY) <= freshMs;
 	}
 
+	/** The next targets to ask; those of the own failure domain by themselves, since bytes between domains are dear. */
+	private _cutBatch(candidates: readonly TargetPlace[], asked: number): TargetPlace[] {
+		const batch = candidates.slice(asked, asked + batchSize);
+		const local = batch.findIndex(place => !this._isLocal(place));
+		return local > 0 ? batch.slice(0, local) : batch;
+	}
+
+	/** Whether a report tells that asking again so soon is of no use. */
+	private _isHopeless(record: TargetRecord): boolean {
+		const reported = record.getLoad(this._options.clock.now());
+		if (reported === undefined || reported.ageMs > hopelessMs) {
+			return false;
+		}
+
+		const {running, waiting, slots, slowdown} = reported.load;
+		return slowdown > slowedFactor || running + waiting >= computeTargetLimit(slots);
+	}
+
 	private _isLocal({record}: TargetPlace): boolean {
 		return record.target.failureDomain === this._options.failureDomain;
 	}
@@ -199,7 +225,7 @@
 		// With every target blocked, requests find out whether they are back.
 		return (open.length > 0 ? open : all)
 			.filter(({record}) => record.inFlight < computeTargetLimit(record.target.slots))
-			.map(place => ({place, rank: this._rankBeforeProbe(place, now) + (random() / 2)}))
+			.map(place => ({place, rank: this._rankBeforeProbe(place, now) + (random() * rankSpread)}))
 			.sort((a, b) => a.rank - b.rank)
 			.map(({place}) => place);
 	}
@@ -211,7 +237,8 @@
 		const isHint = reported !== undefined && reported.ageMs < hintMs;
 		const slowdown = isHint ? reported.load.slowdown : unknownSlowdown;
 		const occupied = Math.max(record.inFlight, isHint ? reported.load.running + reported.load.waiting : 0);
-		return (slowdown * record.getSlowness(now)) + (2 * (occupied / record.target.slots)) + (this._isLocal(place) ? 0 : remoteCost);
+		return (slowdown * record.getSlowness(now)) + (2 * (occupied / record.target.slots))
+			+ (this._isLocal(place) ? 0 : remoteCost) + (place.client.hasIdleConnection ? 0 : connectCost);
 	}
 
 	private async _probeAll(places: readonly TargetPlace[]): Promise<void> {
--- a/src/io/gateway/target-client.ts
+++ b/src/io/gateway/target-client.ts
@@ -32,6 +32,11 @@
 		});
 	}
 
+	/** Whether a connection is open and waits for a request. */
+	get hasIdleConnection(): boolean {
+		return Object.keys(this._agent.freeSockets).length > 0;
+	}
+
 	/** Sends a request and resolves when the answer is whole or can no longer become so. */
 	async sendRequest(outgoing: OutgoingRequest): Promise<TargetExchange> {
 		const {method, path, rawHeaders, body, signal} = outgoing;
--- a/src/policy/gateway/can-take-place.test.ts
+++ b/src/policy/gateway/can-take-place.test.ts
@@ -8,6 +8,7 @@
 		['takes an ordinary place when it is late', 150, 50, 3000, true],
 		['leaves a slow place alone when it is late', 400, 50, 3000, false],
 		['takes a slow place when its time runs short', 400, 50, 590, true],
+		['does not start what would be cut', 400, 50, 420, false],
 	])('%s', (_name, estimateMs, objectiveAt, deadlineAt, isTaken) => {
 		expect(canTakePlace({
 			estimateMs, usualMs: 100, objectiveAt, deadlineAt,
--- a/src/policy/gateway/can-take-place.ts
+++ b/src/policy/gateway/can-take-place.ts
@@ -9,12 +9,13 @@
 
 /** Expected duration, as a factor of the usual one, up to which a late request takes a place: it would hold a slow one for long. */
 const lateFactor = 1.8;
-/** Time left, as a factor of the expected duration, below which a late request takes any place rather than none. */
+/** Time left, as factors of the expected duration, between which a late request takes a slow place rather than none. */
 const lastChanceFactor = 1.5;
+const tooLateFactor = 1.2;
 
 /**
 Decides whether a request takes a free place or waits for a better one. One that can still meet its objective does not start where
-it could not; one that cannot any more leaves slow places alone until its time runs short.
+it could not; one that cannot any more leaves slow places alone until its time runs short. None starts that would be cut.
 */
 export const canTakePlace = ({estimateMs, usualMs, objectiveAt, deadlineAt}: Prospect, now: number): boolean => {
 	if (now + estimateMs <= objectiveAt) {
@@ -25,5 +26,6 @@
 		return false;
 	}
 
-	return estimateMs <= usualMs * lateFactor || now + (estimateMs * lastChanceFactor) >= deadlineAt;
+	const leftFactor = (deadlineAt - now) / estimateMs;
+	return leftFactor >= tooLateFactor && (estimateMs <= usualMs * lateFactor || leftFactor <= lastChanceFactor);
 };
