Serve metrics on an address of their own

Cause: the users ask for counters and latency histograms on the metrics address; a gateway counted nothing. Change: counters, gauges and histograms in memory behind the product's Metrics interface; prom-client renders them, loaded at the first scrape, since it takes 11 MB when imported by itself. Ruled out: prom-client's own metric classes (memory), StatsD on the users' platform (nothing receives it there).

--- a/src/bin/gateway-daemon.ts
+++ b/src/bin/gateway-daemon.ts
@@ -1,4 +1,5 @@
 import {Buffer} from 'node:buffer';
+import process from 'node:process';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {err, ok, type Result} from 'neverthrow';
 import {createHTTPHandler} from '@trpc/server/adapters/standalone';
@@ -19,6 +20,7 @@
 import {BodyFilter} from '../filters/gateway/body-filter.js';
 import {GatewayContext} from '../filters/gateway/gateway-context.js';
 import {LogFilter} from '../filters/gateway/log-filter.js';
+import {MeasureFilter} from '../filters/gateway/measure-filter.js';
 import {RepeatFilter} from '../filters/gateway/repeat-filter.js';
 import {RouteFilter} from '../filters/gateway/route-filter.js';
 import {SendAnswerFilter} from '../filters/gateway/send-answer-filter.js';
@@ -27,6 +29,8 @@
 import {ShutdownFilter} from '../filters/shutdown-filter.js';
 import {BoundedLogger} from '../io/gateway/bounded-logger.js';
 import {createSyncRouter} from '../io/gateway/create-sync-router.js';
+import {renderMetrics} from '../io/gateway/render-metrics.js';
+import {ScrapedMetrics} from '../io/gateway/scraped-metrics.js';
 import {parseAddress} from '../io/gateway/parse-address.js';
 import {SyncClient} from '../io/gateway/sync-client.js';
 import {HttpListener} from '../io/http-listener.js';
@@ -49,16 +53,19 @@
 /** One gateway instance: all listeners, controllers and filters, wired together. */
 export class GatewayDaemon implements DisposableLike {
 	private readonly _store = new DisposableStore();
+	private readonly _metrics = new ScrapedMetrics();
 	private readonly _view: SiteView;
 	private readonly _members: MemberController;
 	private readonly _reader: SourceReader;
 	private readonly _entries: EntryController;
 	private readonly _shutdown: ShutdownController;
+	private readonly _placement: PlacementController;
 	private readonly _chain: FilterChain<GatewayContext, WholeAnswer>;
 	private readonly _dataListener: HttpListener;
 	private readonly _readinessListener: HttpListener;
 	private readonly _routeListener: HttpListener;
 	private readonly _peerListener: HttpListener;
+	private readonly _metricsListener: HttpListener;
 	private _isStopping = false;
 	private _isServing = false;
 
@@ -80,10 +87,19 @@
 			logger,
 		}));
 		this._reader = this._store.add(new SourceReader({
-			source: site.source, view: this._view, logger, random: Math.random, isReader: () => this._members.isHub, waitsForPeers: settings.isFirstStart,
+			source: site.source, view: this._view, logger, metrics: this._metrics, random: Math.random, isReader: () => this._members.isHub, waitsForPeers: settings.isFirstStart,
 		}));
 		this._entries = new EntryController({members: this._members, view: this._view, failureDomain: settings.instance.failureDomain});
 		this._shutdown = this._store.add(this._createShutdown());
+		this._placement = this._store.add(new PlacementController({
+			settings,
+			view: this._view,
+			headers: site.headers,
+			metrics: this._metrics,
+			clock: systemClock,
+			random: Math.random,
+			countInstances: () => this._members.listLive().length,
+		}));
 		this._chain = this._createChain();
 		this._dataListener = this._store.add(this._createDataListener());
 		this._readinessListener = this._store.add(new HttpListener({}, (request, response) => {
@@ -96,6 +112,9 @@
 		this._peerListener = this._store.add(new HttpListener({keepAliveTimeout: 30_000}, (request, response) => {
 			handler(request, response);
 		}));
+		this._metricsListener = this._store.add(new HttpListener({}, (_request, response) => {
+			void this._answerMetrics(response);
+		}));
 	}
 
 	/** Opens the listeners and begins to learn configuration, targets and peers; an error names the address that failed. */
@@ -106,6 +125,7 @@
 			this._readinessListener.listen(parseAddress(listeners.readiness)),
 			this._routeListener.listen(parseAddress(listeners.route)),
 			this._peerListener.listen(parseAddress(listeners.peer)),
+			this._metricsListener.listen(parseAddress(listeners.metrics)),
 		]);
 		const failed = results.find(result => result.isErr());
 		if (failed?.isErr()) {
@@ -162,11 +182,7 @@
 	}
 
 	private _createChain(): FilterChain<GatewayContext, WholeAnswer> {
-		const {settings, site} = this._options;
-		const placement = this._store.add(new PlacementController({
-			settings, view: this._view, headers: site.headers, clock: systemClock, random: Math.random, countInstances: () => this._members.listLive().length,
-		}));
-		const {logger} = this._options;
+		const {site, logger} = this._options;
 		return new FilterChain<GatewayContext, WholeAnswer>([
 			new ShutdownFilter(this._shutdown),
 			new LogFilter({
@@ -175,12 +191,13 @@
 				view: this._view,
 				clock: systemClock,
 			}),
+			new MeasureFilter({metrics: this._metrics, clock: systemClock}),
 			new SendAnswerFilter(),
 			new OutcomeFilter(),
 			new RouteFilter(this._view),
 			new TimeLimitFilter({clock: systemClock, timeoutHeader: site.headers.timeoutMs}),
 			new BodyFilter(this._view),
-			new RepeatFilter({placement, runner: new AttemptRunner({headers: site.headers, clock: systemClock})}),
+			new RepeatFilter({placement: this._placement, runner: new AttemptRunner({headers: site.headers, clock: systemClock})}),
 		]);
 	}
 
@@ -213,6 +230,17 @@
 		response.end();
 	}
 
+	private async _answerMetrics(response: ServerResponse): Promise<void> {
+		const {version} = this._view;
+		this._placement.recordGauges();
+		this._metrics.recordGauge('configuration.version', version.configuration);
+		this._metrics.recordGauge('targets.age_ms', version.listAgeMs);
+		this._metrics.recordGauge('process.memory', process.memoryUsage.rss());
+		const body = await renderMetrics(this._metrics.series);
+		response.writeHead(200, {'content-type': 'text/plain; version=0.0.4; charset=utf-8', 'content-length': Buffer.byteLength(body)});
+		response.end(body);
+	}
+
 	private _answerQuestion(request: IncomingMessage, response: ServerResponse): void {
 		const {site} = this._options;
 		const question = site.parseQuestion(request.url ?? '/');
--- a/src/common/gateway/gateway-settings.ts
+++ b/src/common/gateway/gateway-settings.ts
@@ -11,6 +11,8 @@
 		readonly readiness: string;
 		readonly peer: string;
 		readonly route: string;
+		/** Serves metrics to whoever scrapes them. */
+		readonly metrics: string;
 	};
 	/** Peer addresses of instances to find the fleet by, as host:port; some may be stale. */
 	readonly seeds: readonly string[];
--- a/src/controllers/gateway/placement-controller.ts
+++ b/src/controllers/gateway/placement-controller.ts
@@ -5,6 +5,7 @@
 import type {GatewayService} from '../../common/gateway/gateway-service.js';
 import type {GatewaySettings} from '../../common/gateway/gateway-settings.js';
 import type {HeaderVocabulary} from '../../common/gateway/header-vocabulary.js';
+import type {Metrics} from '../../common/metrics.js';
 import {RequestError} from '../../common/request-error.js';
 import {RetryAllowance} from '../../policy/gateway/retry-allowance.js';
 import type {PlacementDemand} from './placement-demand.js';
@@ -18,6 +19,7 @@
 	readonly settings: GatewaySettings;
 	readonly view: SiteView;
 	readonly headers: HeaderVocabulary;
+	readonly metrics: Metrics;
 	readonly clock: Clock;
 	readonly random: () => number;
 	/** Instances that run now, this one included. */
@@ -62,7 +64,20 @@
 
 	/** Takes a repeat from the service's budget; false when it is used up. */
 	tryTakeRepeat(service: string): boolean {
-		return this._services.get(service)?.retries.tryTake(this._options.clock.now()) ?? false;
+		const isTaken = this._services.get(service)?.retries.tryTake(this._options.clock.now()) ?? false;
+		this._options.metrics.countEvent('request.repeats', {service, result: isTaken ? 'allowed' : 'refused'});
+		return isTaken;
+	}
+
+	/** Records what waits and what is in flight at this moment. */
+	recordGauges(): void {
+		const {metrics, clock} = this._options;
+		for (const [service, {placer, pool, retries}] of this._services) {
+			metrics.recordGauge('queue.waiting', placer.waitingCount, {service});
+			metrics.recordGauge('target.in_flight', pool.inFlight, {service});
+			metrics.recordGauge('target.usual_ms', pool.times.usualMs, {service});
+			metrics.recordGauge('request.repeats_left', retries.getLeft(clock.now()), {service});
+		}
 	}
 
 	dispose(): void {
@@ -92,7 +107,7 @@
 	}
 
 	private _createService(service: GatewayService): ServiceState {
-		const {settings, headers, clock, random, countInstances} = this._options;
+		const {settings, headers, metrics, clock, random, countInstances} = this._options;
 		const {limits, instance} = settings;
 		const pool = new TargetPool({
 			service,
@@ -100,6 +115,7 @@
 			clock,
 			random,
 			prober: new TargetProber(headers),
+			metrics,
 			maxConnections: Math.max(2, Math.floor((service.connectionsPerTarget * usedShare) / maxInstances)),
 			getProbeRate: () => (limits.probesPerTargetPerSecond * usedShare) / Math.max(1, countInstances()),
 			onRelease() {
--- a/src/controllers/gateway/source-reader.ts
+++ b/src/controllers/gateway/source-reader.ts
@@ -1,14 +1,17 @@
 import {setTimeout as sleep} from 'node:timers/promises';
+import type {Result} from 'neverthrow';
 import type {DisposableLike} from '../../common/disposable-like.js';
 import type {SiteSource} from '../../common/gateway/site-source.js';
 import type {SourceError} from '../../common/gateway/source-error.js';
 import type {Logger} from '../../common/logger.js';
+import type {Metrics} from '../../common/metrics.js';
 import type {SiteView} from './site-view.js';
 
 type SourceReaderOptions = {
 	readonly source: SiteSource;
 	readonly view: SiteView;
 	readonly logger: Logger;
+	readonly metrics: Metrics;
 	/** Whether this instance reads for the others of its failure domain. */
 	readonly isReader: () => boolean;
 	readonly random: () => number;
@@ -60,6 +63,7 @@
 		while (!this._ending.signal.aborted) {
 			if (this._isNeeded) {
 				const read = await source.readTargets();
+				this._countRead('targets', read);
 				if (read.isOk()) {
 					this._noteReachable();
 					view.offerTargets(read.value);
@@ -84,6 +88,7 @@
 
 			if (await this._readConfiguration()) {
 				const waited = await source.waitForChange();
+				this._countRead('changes', waited);
 				if (waited.isErr()) {
 					this._noteFailure('configuration-changes', waited.error);
 					await this._pause(this._failedPauseMs);
@@ -96,6 +101,7 @@
 
 	private async _readConfiguration(): Promise<boolean> {
 		const read = await this._options.source.readConfiguration();
+		this._countRead('configuration', read);
 		if (read.isErr()) {
 			this._noteFailure('configuration', read.error);
 			return false;
@@ -110,6 +116,10 @@
 		return true;
 	}
 
+	private _countRead(subject: string, read: Result<unknown, SourceError>): void {
+		this._options.metrics.countEvent('registry.reads', {subject, result: read.isOk() ? 'read' : read.error.failure});
+	}
+
 	private get _failedPauseMs(): number {
 		return failedPauseMs * (1 + this._options.random());
 	}
--- a/src/controllers/gateway/target-pool.ts
+++ b/src/controllers/gateway/target-pool.ts
@@ -5,6 +5,7 @@
 import type {GatewayService} from '../../common/gateway/gateway-service.js';
 import type {GatewayTarget} from '../../common/gateway/gateway-target.js';
 import type {TargetLoad} from '../../common/gateway/target-load.js';
+import type {Metrics} from '../../common/metrics.js';
 import {TargetClient} from '../../io/gateway/target-client.js';
 import {computeStartFactor} from '../../policy/gateway/compute-start-factor.js';
 import {computeTargetLimit} from '../../policy/gateway/compute-target-limit.js';
@@ -24,6 +25,7 @@
 	readonly clock: Clock;
 	readonly random: () => number;
 	readonly prober: TargetProber;
+	readonly metrics: Metrics;
 	/** Connections that this instance may hold to one target. */
 	readonly maxConnections: number;
 	/** Probes that this instance may send to one target at this moment, a second. */
@@ -136,7 +138,7 @@
 
 	/** Takes a place at a target; the lease gives it back. */
 	grant({place}: TargetChoice): TargetLease {
-		const {clock, onRelease} = this._options;
+		const {clock, service, metrics, onRelease} = this._options;
 		const {record, client} = place;
 		const startedAt = clock.now();
 		const report = record.getLoad(startedAt);
@@ -155,6 +157,7 @@
 
 				isReleased = true;
 				record.inFlight--;
+				metrics.countEvent('target.attempts', {service: service.name, end});
 				const now = clock.now();
 				this._recordAnswer(record, load, now);
 				record.recordEnd(end, now);
@@ -258,10 +261,11 @@
 	}
 
 	private async _probe(place: TargetPlace): Promise<void> {
-		const {clock, prober, service} = this._options;
+		const {clock, prober, service, metrics} = this._options;
 		const {record, client} = place;
 		const probe = await prober.probe(client, service.healthPath, record.target.id);
 		place.probing = undefined;
+		metrics.countEvent('target.probes', {service: service.name, result: probe === undefined ? 'silent' : (probe.isHealthy ? 'healthy' : 'unhealthy')});
 		const now = clock.now();
 		if (probe === undefined) {
 			record.recordSilence(now);
--- a/src/policy/gateway/retry-allowance.ts
+++ b/src/policy/gateway/retry-allowance.ts
@@ -29,6 +29,17 @@
 	/** Takes one repeat; false when the window holds as many as are allowed. */
 	tryTake(now: number): boolean {
 		const piece = this._getPiece(now);
+		if (this.getLeft(now) < 1) {
+			return false;
+		}
+
+		piece.repeats++;
+		return true;
+	}
+
+	/** Repeats that are left in the window. */
+	getLeft(now: number): number {
+		this._getPiece(now);
 		let requests = 0;
 		let repeats = 0;
 		for (const {requests: first, repeats: again} of this._pieces) {
@@ -36,12 +47,7 @@
 			repeats += again;
 		}
 
-		if (repeats + 1 > (requests * this._options.ratio) + this._options.slack) {
-			return false;
-		}
-
-		piece.repeats++;
-		return true;
+		return (requests * this._options.ratio) + this._options.slack - repeats;
 	}
 
 	private _getPiece(now: number): Window {
