--- a/src/bin/gateway-daemon.ts
+++ b/src/bin/gateway-daemon.ts
@@ -87,7 +87,17 @@
 			logger,
 		}));
 		this._reader = this._store.add(new SourceReader({
-			source: site.source, view: this._view, logger, metrics: this._metrics, random: Math.random, isReader: () => this._members.isHub, waitsForPeers: settings.isFirstStart,
+			source: site.source,
+			view: this._view,
+			logger,
+			metrics: this._metrics,
+			random: Math.random,
+			isReader: () => this._members.isReader,
+			isHub: () => this._members.isHub,
+			onTargetsRead: () => {
+				this._shareWithHubs();
+			},
+			waitsForPeers: settings.isFirstStart,
 		}));
 		this._entries = new EntryController({members: this._members, view: this._view, failureDomain: settings.instance.failureDomain});
 		this._shutdown = this._store.add(this._createShutdown());
@@ -136,12 +146,12 @@
 		this._members.start();
 		this._store.add(this._view.onConfiguration(() => {
 			this._updateServing();
+			this._announceChange();
+			this._shareWithHubs();
 		}));
 		this._store.add(this._view.onTargets(() => {
 			this._updateServing();
-			if (this._members.isHub) {
-				void this._members.announce();
-			}
+			this._announceChange();
 		}));
 		this._options.logger.logInfo('gateway-started', {listeners, filters: this._chain.names});
 		return ok();
@@ -215,6 +225,20 @@
 		return listener;
 	}
 
+	/** Tells the own failure domain of a change, if it learns from this instance. */
+	private _announceChange(): void {
+		if (this._members.isHub) {
+			void this._members.announce();
+		}
+	}
+
+	/** Tells the other failure domains what was read, if they learn from this instance. */
+	private _shareWithHubs(): void {
+		if (this._members.isReader) {
+			void this._members.announceToHubs();
+		}
+	}
+
 	private _updateServing(): void {
 		const isServing = this._view.isComplete && !this._isStopping;
 		if (isServing !== this._isServing) {
--- a/src/common/gateway/site-source.ts
+++ b/src/common/gateway/site-source.ts
@@ -7,8 +7,8 @@
 export type SiteSource = {
 	/** Reads the newest configuration; undefined while there is none. */
 	readConfiguration(): Promise<Result<GatewayConfiguration | undefined, SourceError>>;
-	/** Resolves when the configuration may have changed since the last read or wait, or after the longest wait. */
-	waitForChange(): Promise<Result<void, SourceError>>;
+	/** Resolves with true when the configuration has changed since the last read or wait, with false after the longest wait. */
+	waitForChange(): Promise<Result<boolean, SourceError>>;
 	/** Reads the list of targets as it is at the registry now. */
 	readTargets(): Promise<Result<TargetList, SourceError>>;
 };
--- a/src/controllers/gateway/member-controller.ts
+++ b/src/controllers/gateway/member-controller.ts
@@ -37,7 +37,8 @@
 
 /**
 Knows the instances of the fleet. In each failure domain all exchange messages with the one of the lowest id, the hub, and
-the hubs with each other; whoever does not answer is passed over, so that the next lowest takes its place.
+the hubs with each other; whoever does not answer is passed over, so that the next lowest takes its place. The lowest of the hubs
+reads the registry and tells the other hubs.
 */
 export class MemberController implements DisposableLike {
 	private readonly _table = new MemberTable();
@@ -50,19 +51,48 @@
 		this._self = {..._options.self, counter: 0, isServing: false};
 	}
 
-	/** Whether this instance reads the registry for its failure domain. */
+	/** Whether this instance passes on to its failure domain what other domains tell. */
 	get isHub(): boolean {
 		return this._findHub(this._self.failureDomain)?.id === this._self.id;
 	}
 
+	/** Whether this instance reads the registry for the others: the hub of the lowest id among all domains. */
+	get isReader(): boolean {
+		return this.isHub && this._listHubs().every(hub => hub.id >= this._self.id);
+	}
+
 	/** Starts the rounds. */
 	start(): void {
-		void this._runRound();
+		void this.runRound();
 		this._timer = setInterval(() => {
-			void this._runRound();
+			void this.runRound();
 		}, roundMs);
 	}
 
+	/** Exchanges messages with the peers whose turn it is; called by a timer after the start. */
+	async runRound(): Promise<void> {
+		this._round++;
+		this._self = {...this._self, counter: this._self.counter + 1};
+		const hub = this._findHub(this._self.failureDomain);
+		const exchanges: Array<Promise<void>> = [];
+		if (hub !== undefined && hub.id !== this._self.id) {
+			exchanges.push(this._exchange(hub.peerAddress, hub));
+		}
+
+		const isHub = hub?.id === this._self.id;
+		const every = this._options.view.listAgeMs > staleMs ? remoteEveryWhenStale : remoteEvery;
+		if (isHub && this._round % every === 0) {
+			exchanges.push(...this._exchangeWithHubs());
+		}
+
+		if (isHub && (this._round <= seedRounds || this._round % seedEvery === 0)) {
+			exchanges.push(this._askSeed());
+		}
+
+		await Promise.all(exchanges);
+		this._table.dropSilent(this._options.clock.now(), forgetMs);
+	}
+
 	/** Says whether this instance takes callers. */
 	setServing(isServing: boolean): void {
 		this._self = {...this._self, counter: this._self.counter + 1, isServing};
@@ -73,6 +103,11 @@
 		await Promise.all(this._listLocal().filter(member => member.id !== this._self.id).map(async member => this._exchange(member.peerAddress, member)));
 	}
 
+	/** Tells the hubs of the other failure domains what was read. */
+	async announceToHubs(): Promise<void> {
+		await Promise.all(this._exchangeWithHubs());
+	}
+
 	/** Lists instances that take callers: those of the failure domain, or all when it has none. */
 	listServing(failureDomain: string): GatewayMember[] {
 		const serving = this.listLive().filter(member => member.isServing);
@@ -125,29 +160,6 @@
 		return [this._self, ...hubs];
 	}
 
-	private async _runRound(): Promise<void> {
-		this._round++;
-		this._self = {...this._self, counter: this._self.counter + 1};
-		const hub = this._findHub(this._self.failureDomain);
-		const exchanges: Array<Promise<void>> = [];
-		if (hub !== undefined && hub.id !== this._self.id) {
-			exchanges.push(this._exchange(hub.peerAddress, hub));
-		}
-
-		const isHub = hub?.id === this._self.id;
-		const every = this._options.view.listAgeMs > staleMs ? remoteEveryWhenStale : remoteEvery;
-		if (isHub && this._round % every === 0) {
-			exchanges.push(...this._exchangeWithHubs());
-		}
-
-		if (isHub && (this._round <= seedRounds || this._round % seedEvery === 0)) {
-			exchanges.push(this._askSeed());
-		}
-
-		await Promise.all(exchanges);
-		this._table.dropSilent(this._options.clock.now(), forgetMs);
-	}
-
 	private _exchangeWithHubs(): Array<Promise<void>> {
 		const domains = new Set(this._table.members.map(member => member.failureDomain));
 		domains.delete(this._self.failureDomain);
--- a/src/controllers/gateway/source-reader.ts
+++ b/src/controllers/gateway/source-reader.ts
@@ -12,8 +12,12 @@
 	readonly view: SiteView;
 	readonly logger: Logger;
 	readonly metrics: Metrics;
-	/** Whether this instance reads for the others of its failure domain. */
+	/** Whether this instance reads for the others. */
 	readonly isReader: () => boolean;
+	/** Whether the others of its failure domain learn from this instance. */
+	readonly isHub: () => boolean;
+	/** Called after each read of the list of targets. */
+	readonly onTargetsRead: () => void;
 	readonly random: () => number;
 	/** Whether the first reads wait until peers are known, so that only a few instances read at the first start of a site. */
 	readonly waitsForPeers: boolean;
@@ -21,8 +25,10 @@
 
 /** Time between two reads of the list of targets, in ms; with a reader's loss, noticed within 0.6 s, it stays below the 2 s in which a leaving target is left. */
 const readIntervalMs = 1000;
-/** Age of the view from which an instance reads for itself, in ms; reads are 1 s apart and peers are asked every 0.3 s. */
+/** Age of the view from which an instance reads for itself, in ms; reads are 1 s apart, and peers are asked every 0.3 s. */
 const staleAfterMs = 1500;
+/** The same for a hub, in ms: it is told of each read, and the others of its domain wait for it. */
+const hubStaleAfterMs = 1200;
 /** Time in which instances that start together get to know each other, in ms; callers come 10 s after the first start. */
 const peersKnownMs = 1500;
 /** Pause between two checks whether this instance has to read, in ms. */
@@ -53,9 +59,9 @@
 	}
 
 	private get _isNeeded(): boolean {
-		const {view, isReader} = this._options;
-		const isLeftAlone = !this._options.waitsForPeers && !view.isComplete;
-		return isReader() || isLeftAlone || (view.isComplete && view.listAgeMs > staleAfterMs);
+		const {view, isReader, isHub, waitsForPeers} = this._options;
+		const isLeftAlone = !waitsForPeers && !view.isComplete;
+		return isReader() || isLeftAlone || (view.isComplete && view.listAgeMs > (isHub() ? hubStaleAfterMs : staleAfterMs));
 	}
 
 	private async _runTargets(): Promise<void> {
@@ -67,6 +73,7 @@
 				if (read.isOk()) {
 					this._noteReachable();
 					view.offerTargets(read.value);
+					this._options.onTargetsRead();
 				} else {
 					this._noteFailure('targets', read.error);
 				}
@@ -79,23 +86,30 @@
 	}
 
 	private async _runConfiguration(): Promise<void> {
-		const {source} = this._options;
 		while (!this._ending.signal.aborted) {
 			if (!this._isNeeded) {
 				await this._pause(idlePauseMs);
 				continue;
 			}
 
-			if (await this._readConfiguration()) {
-				const waited = await source.waitForChange();
-				this._countRead('changes', waited);
-				if (waited.isErr()) {
-					this._noteFailure('configuration-changes', waited.error);
-					await this._pause(this._failedPauseMs);
-				}
-			} else {
-				await this._pause(unconfiguredPauseMs);
+			const isRead = await this._readConfiguration();
+			await (isRead ? this._waitForChange() : this._pause(unconfiguredPauseMs));
+		}
+	}
+
+	/** Resolves when the configuration may have changed, or when this instance no longer has to watch it. */
+	private async _waitForChange(): Promise<void> {
+		const {source} = this._options;
+		let hasChanged = false;
+		while (!hasChanged && this._isNeeded && !this._ending.signal.aborted) {
+			const waited = await source.waitForChange();
+			this._countRead('changes', waited);
+			if (waited.isErr()) {
+				this._noteFailure('configuration-changes', waited.error);
+				await this._pause(this._failedPauseMs);
 			}
+
+			hasChanged = waited.isErr() || waited.value;
 		}
 	}
 
