Watch the configuration also while hubs are turned away by the registry; check settings; look for a second target again

Others read the list for themselves and so made it fresh, but a change that their watch showed was dropped when they no longer had to read, and nobody watched. The log shows no instance with version 10 within 2 s of 7.06 s. Ruled out: slow store or lost announcements (no other instance had the version either); with one reader alone it was in force at 8.7 s. Change: an instance whose read fails says so, and the next one reads; whoever had to read goes on for 4 s; a change that was seen is read in any case; hubs that read tell the other hubs. Where no target was idle, a hedge is tried again. A target that started again under its id is trusted less.

--- a/src/bin/gateway-daemon.ts
+++ b/src/bin/gateway-daemon.ts
@@ -94,8 +94,12 @@
 			random: Math.random,
 			isReader: () => this._members.isReader,
 			isHub: () => this._members.isHub,
-			onTargetsRead: () => {
-				this._shareWithHubs();
+			clock: systemClock,
+			onTargetsRead: isRead => {
+				this._members.setCanRead(isRead);
+				if (isRead) {
+					this._shareWithHubs();
+				}
 			},
 			waitsForPeers: settings.isFirstStart,
 		}));
@@ -157,6 +161,12 @@
 		return ok();
 	}
 
+	/** Takes seeds from settings that were read again; the other fields hold until the next start. */
+	applySettings({seeds}: GatewaySettings): void {
+		this._members.setSeeds(seeds);
+		this._options.logger.logInfo('settings-reloaded', {seeds});
+	}
+
 	/** Begins a planned stop. */
 	handleSignal(): void {
 		if (!this._isStopping) {
@@ -234,7 +244,7 @@
 
 	/** Tells the other failure domains what was read, if they learn from this instance. */
 	private _shareWithHubs(): void {
-		if (this._members.isReader) {
+		if (this._members.isHub && this._reader.isReading) {
 			void this._members.announceToHubs();
 		}
 	}
--- a/src/common/convert-zod-error.ts
+++ b/src/common/convert-zod-error.ts
@@ -1,4 +1,4 @@
-import type {z} from 'zod';
+import type * as z from 'zod/mini';
 import type {FieldError} from './field-error.js';
 
 const maxValueCharacters = 80;
@@ -31,7 +31,7 @@
 };
 
 /** Turns a schema failure into field errors that name field, value and what is allowed. */
-export const convertZodError = (error: z.ZodError, input: unknown): FieldError[] => error.issues.map(issue => {
+export const convertZodError = (error: z.core.$ZodError, input: unknown): FieldError[] => error.issues.map(issue => {
 	if (issue.code === 'unrecognized_keys') {
 		const path = [...issue.path, issue.keys[0] ?? ''];
 		return {field: formatPath(path), value: formatValue(readPath(input, path)), message: 'no such field'};
--- a/src/common/gateway/gateway-member.ts
+++ b/src/common/gateway/gateway-member.ts
@@ -12,4 +12,6 @@
 	readonly counter: number;
 	/** True while the instance serves callers and is not stopping. */
 	readonly isServing: boolean;
+	/** False while the instance's reads of the registry fail. */
+	readonly canRead: boolean;
 };
--- a/src/controllers/gateway/member-controller.test.ts
+++ b/src/controllers/gateway/member-controller.test.ts
@@ -79,6 +79,25 @@
 		expect(listReaders()).toEqual(readers);
 	});
 
+	it.each([
+		[['a-1'], 'a-2'],
+		[['a-1', 'a-2', 'a-3'], 'b-1'],
+		[['a-1', 'b-1', 'c-1'], 'a-2'],
+	])('with %j turned away by the registry is read by %s', async (unable, reader) => {
+		for (const id of unable) {
+			getInstance(id).members.setCanRead(false);
+		}
+
+		await runRounds(30);
+		expect(listReaders()).toEqual([reader]);
+		for (const id of unable) {
+			getInstance(id).members.setCanRead(true);
+		}
+
+		await runRounds(30);
+		expect(listReaders()).toEqual(['a-1']);
+	});
+
 	it('tells the hubs at once what the reader has read', async () => {
 		const reader = getInstance('a-1');
 		reader.view.offerTargets({revision: 7, targets: [target]});
--- a/src/controllers/gateway/member-controller.ts
+++ b/src/controllers/gateway/member-controller.ts
@@ -8,7 +8,7 @@
 import type {SiteView} from './site-view.js';
 
 type MemberControllerOptions = {
-	readonly self: Omit<GatewayMember, 'counter' | 'isServing'>;
+	readonly self: Omit<GatewayMember, 'counter' | 'isServing' | 'canRead'>;
 	readonly seeds: readonly string[];
 	readonly client: Pick<SyncClient, 'exchange'>;
 	readonly view: SiteView;
@@ -35,6 +35,17 @@
 /** Silence after which an instance is forgotten, in ms. */
 const forgetMs = 60_000;
 
+/** The one of the lowest id among those that can read the registry, or among all when none can. */
+const pickHub = (members: readonly GatewayMember[]): GatewayMember | undefined => {
+	let best: GatewayMember | undefined;
+	for (const member of members) {
+		const isBetter = best === undefined || (member.canRead === best.canRead ? member.id < best.id : member.canRead);
+		best = isBetter ? member : best;
+	}
+
+	return best;
+};
+
 /**
 Knows the instances of the fleet. In each failure domain all exchange messages with the one of the lowest id, the hub, and
 the hubs with each other; whoever does not answer is passed over, so that the next lowest takes its place. The lowest of the hubs
@@ -44,11 +55,15 @@
 	private readonly _table = new MemberTable();
 	private readonly _peerViews = new Map<string, SyncMessage['view']>();
 	private _self: GatewayMember;
+	private _seeds: readonly string[];
 	private _round = 0;
 	private _timer: NodeJS.Timeout | undefined;
 
 	constructor(private readonly _options: MemberControllerOptions) {
-		this._self = {..._options.self, counter: 0, isServing: false};
+		this._self = {
+			..._options.self, counter: 0, isServing: false, canRead: true,
+		};
+		this._seeds = _options.seeds;
 	}
 
 	/** Whether this instance passes on to its failure domain what other domains tell. */
@@ -58,7 +73,7 @@
 
 	/** Whether this instance reads the registry for the others: the hub of the lowest id among all domains. */
 	get isReader(): boolean {
-		return this.isHub && this._listHubs().every(hub => hub.id >= this._self.id);
+		return this.isHub && pickHub(this._listHubs())?.id === this._self.id;
 	}
 
 	/** Starts the rounds. */
@@ -93,11 +108,25 @@
 		this._table.dropSilent(this._options.clock.now(), forgetMs);
 	}
 
+	/** Takes other addresses to find the fleet by. */
+	setSeeds(seeds: readonly string[]): void {
+		this._seeds = seeds;
+	}
+
 	/** Says whether this instance takes callers. */
 	setServing(isServing: boolean): void {
 		this._self = {...this._self, counter: this._self.counter + 1, isServing};
 	}
 
+	/** Says whether this instance's reads of the registry succeed; one that cannot read leaves that to others, and tells them at once. */
+	setCanRead(canRead: boolean): void {
+		if (canRead !== this._self.canRead) {
+			this._self = {...this._self, counter: this._self.counter + 1, canRead};
+			void this.announce();
+			void this.announceToHubs();
+		}
+	}
+
 	/** Tells the other instances of the failure domain at once what has changed. */
 	async announce(): Promise<void> {
 		await Promise.all(this._listLocal().filter(member => member.id !== this._self.id).map(async member => this._exchange(member.peerAddress, member)));
@@ -143,14 +172,7 @@
 		const members = failureDomain === this._self.failureDomain
 			? this._listLocal()
 			: this._table.listLive(this._options.clock.now(), remoteLiveMs).filter(member => member.failureDomain === failureDomain);
-		let hub: GatewayMember | undefined;
-		for (const member of members) {
-			if (hub === undefined || member.id < hub.id) {
-				hub = member;
-			}
-		}
-
-		return hub;
+		return pickHub(members);
 	}
 
 	/** This instance and one of each failure domain, by which another domain finds the rest. */
@@ -170,7 +192,7 @@
 	}
 
 	private async _askSeed(): Promise<void> {
-		const others = this._options.seeds.filter(seed => seed !== this._self.peerAddress);
+		const others = this._seeds.filter(seed => seed !== this._self.peerAddress);
 		const seed = others[this._round % others.length];
 		if (seed !== undefined) {
 			await this._exchange(seed, undefined);
--- /dev/null
+++ b/src/controllers/gateway/source-reader.test.ts
@@ -0,0 +1,63 @@
+import {ok} from 'neverthrow';
+import {
+	afterEach, describe, expect, it, vi,
+} from 'vitest';
+import type {GatewayConfiguration} from '../../common/gateway/gateway-configuration.js';
+import type {SiteSource} from '../../common/gateway/site-source.js';
+import {disabledMetrics} from '../../io/disabled-metrics.js';
+import {SiteView} from './site-view.js';
+import {SourceReader} from './source-reader.js';
+
+const silentLogger = {logError: () => undefined, logInfo: () => undefined, logDebug: () => undefined};
+const limits = {
+	headerBytes: 1, bodyBytes: 1, headersTimeoutMs: 1, idleTimeoutMs: 1,
+};
+
+describe('SourceReader', () => {
+	let reader: SourceReader | undefined;
+
+	afterEach(() => {
+		reader?.dispose();
+	});
+
+	it.each([
+		['while it stands in for the reader', 1000],
+		['when it was seen just after others have told the list again', 60_000],
+	])('reads a change of the configuration %s', async (_name, elapsedMs) => {
+		let now = 0;
+		let version = 1;
+		let notifyChange: (() => void) | undefined;
+		const clock = {now: () => now};
+		const source: SiteSource = {
+			readConfiguration: async () => ok({
+				version, routes: [], services: [], limits,
+			} satisfies GatewayConfiguration),
+			waitForChange: async () => new Promise(resolve => {
+				notifyChange = () => {
+					resolve(ok(true));
+				};
+			}),
+			readTargets: async () => ok({revision: 1, targets: []}),
+		};
+		const view = new SiteView({clock, logger: silentLogger});
+		view.offerConfiguration({
+			version: 1, routes: [], services: [], limits,
+		});
+		view.offerTargets({revision: 1, targets: []});
+		now = 5000;
+		reader = new SourceReader({
+			source, view, logger: silentLogger, metrics: disabledMetrics, clock, isReader: () => false, isHub: () => true, onTargetsRead: () => undefined, random: () => 0, waitsForPeers: false,
+		});
+		void reader.start();
+		await vi.waitFor(() => {
+			expect(notifyChange).toBeDefined();
+		});
+		now += elapsedMs;
+		view.confirmTargets(2, 0);
+		version = 2;
+		notifyChange?.();
+		await vi.waitFor(() => {
+			expect(view.configuration?.version).toBe(2);
+		});
+	});
+});
--- a/src/controllers/gateway/source-reader.ts
+++ b/src/controllers/gateway/source-reader.ts
@@ -1,5 +1,6 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {Result} from 'neverthrow';
+import type {Clock} from '../../common/clock.js';
 import type {DisposableLike} from '../../common/disposable-like.js';
 import type {SiteSource} from '../../common/gateway/site-source.js';
 import type {SourceError} from '../../common/gateway/source-error.js';
@@ -16,8 +17,9 @@
 	readonly isReader: () => boolean;
 	/** Whether the others of its failure domain learn from this instance. */
 	readonly isHub: () => boolean;
-	/** Called after each read of the list of targets. */
-	readonly onTargetsRead: () => void;
+	/** Called after each read of the list of targets; the view holds it already. */
+	readonly onTargetsRead: (isRead: boolean) => void;
+	readonly clock: Clock;
 	readonly random: () => number;
 	/** Whether the first reads wait until peers are known, so that only a few instances read at the first start of a site. */
 	readonly waitsForPeers: boolean;
@@ -29,6 +31,8 @@
 const staleAfterMs = 1500;
 /** The same for a hub, in ms: it is told of each read, and the others of its domain wait for it. */
 const hubStaleAfterMs = 1200;
+/** Time for which an instance that nobody told goes on to read, in ms: the age of the list does not show that of the configuration. */
+const standInMs = 4000;
 /** Time in which instances that start together get to know each other, in ms; callers come 10 s after the first start. */
 const peersKnownMs = 1500;
 /** Pause between two checks whether this instance has to read, in ms. */
@@ -42,6 +46,7 @@
 export class SourceReader implements DisposableLike {
 	private readonly _ending = new AbortController();
 	private _isReachable = true;
+	private _standInUntil = Number.NEGATIVE_INFINITY;
 
 	constructor(private readonly _options: SourceReaderOptions) {}
 
@@ -58,26 +63,32 @@
 		this._ending.abort();
 	}
 
-	private get _isNeeded(): boolean {
-		const {view, isReader, isHub, waitsForPeers} = this._options;
+	/** Whether this instance reads now: for the others, or since nobody tells it. */
+	get isReading(): boolean {
+		const {view, clock, isReader, isHub, waitsForPeers} = this._options;
 		const isLeftAlone = !waitsForPeers && !view.isComplete;
-		return isReader() || isLeftAlone || (view.isComplete && view.listAgeMs > (isHub() ? hubStaleAfterMs : staleAfterMs));
+		const now = clock.now();
+		if (view.isComplete && view.listAgeMs > (isHub() ? hubStaleAfterMs : staleAfterMs)) {
+			this._standInUntil = now + standInMs;
+		}
+
+		return isReader() || isLeftAlone || now < this._standInUntil;
 	}
 
 	private async _runTargets(): Promise<void> {
 		const {source, view} = this._options;
 		while (!this._ending.signal.aborted) {
-			if (this._isNeeded) {
+			if (this.isReading) {
 				const read = await source.readTargets();
 				this._countRead('targets', read);
 				if (read.isOk()) {
 					this._noteReachable();
 					view.offerTargets(read.value);
-					this._options.onTargetsRead();
 				} else {
 					this._noteFailure('targets', read.error);
 				}
 
+				this._options.onTargetsRead(read.isOk());
 				await this._pause(read.isOk() ? readIntervalMs : this._failedPauseMs);
 			} else {
 				await this._pause(idlePauseMs);
@@ -87,21 +98,21 @@
 
 	private async _runConfiguration(): Promise<void> {
 		while (!this._ending.signal.aborted) {
-			if (!this._isNeeded) {
+			if (!this.isReading) {
 				await this._pause(idlePauseMs);
 				continue;
 			}
 
 			const isRead = await this._readConfiguration();
-			await (isRead ? this._waitForChange() : this._pause(unconfiguredPauseMs));
+			await (isRead ? this._watchConfiguration() : this._pause(unconfiguredPauseMs));
 		}
 	}
 
-	/** Resolves when the configuration may have changed, or when this instance no longer has to watch it. */
-	private async _waitForChange(): Promise<void> {
+	/** Reads the configuration after each change, until this instance no longer has to; a change that was seen is always read. */
+	private async _watchConfiguration(): Promise<void> {
 		const {source} = this._options;
-		let hasChanged = false;
-		while (!hasChanged && this._isNeeded && !this._ending.signal.aborted) {
+		let isRead = true;
+		while (isRead && this.isReading && !this._ending.signal.aborted) {
 			const waited = await source.waitForChange();
 			this._countRead('changes', waited);
 			if (waited.isErr()) {
@@ -109,7 +120,9 @@
 				await this._pause(this._failedPauseMs);
 			}
 
-			hasChanged = waited.isErr() || waited.value;
+			if (waited.isErr() || waited.value) {
+				isRead = await this._readConfiguration();
+			}
 		}
 	}
 
--- a/src/controllers/gateway/target-pool.ts
+++ b/src/controllers/gateway/target-pool.ts
@@ -91,9 +91,11 @@
 	update(targets: readonly GatewayTarget[]): void {
 		const {clock, maxConnections, getProbeRate} = this._options;
 		const listed = new Map(targets.filter(target => !target.isLeaving).map(target => [`${target.id} ${target.startedAt}`, target]));
+		const gone = new Map<string, TargetRecord>();
 		for (const [key, place] of this._places) {
 			const target = listed.get(key);
 			if (target?.host !== place.record.target.host || target.port !== place.record.target.port) {
+				gone.set(place.record.target.id, place.record);
 				this._places.delete(key);
 				this._disposeWhenIdle(place);
 			}
@@ -102,7 +104,7 @@
 		for (const [key, target] of listed) {
 			if (!this._places.has(key)) {
 				this._places.set(key, {
-					record: new TargetRecord(target, clock.now()),
+					record: new TargetRecord(target, clock.now(), gone.get(target.id)),
 					client: new TargetClient({host: target.host, port: target.port, maxConnections}),
 					probes: new RateBudget({getRate: getProbeRate, burstSeconds: probeBurstSeconds}, clock.now()),
 					probing: undefined,
--- a/src/filters/gateway/repeat-filter.ts
+++ b/src/filters/gateway/repeat-filter.ts
@@ -21,6 +21,8 @@
 
 /** Share of a route's objective after which an idempotent request is also sent to a second, idle target. */
 const hedgeShare = 0.6;
+/** Share of the objective after which a second target is looked for again when none was idle. */
+const hedgeAgainShare = 0.2;
 /** Attempts, refused ones included, before a request is given up. */
 const maxTries = 4;
 /** Time after which a refused request is worth another try, in ms. */
@@ -75,9 +77,11 @@
 			};
 
 			const hedge = async () => {
-				const lease = await this._options.placement.tryAcquire(this._createDemand(context, route, losing.signal));
-				if (lease === undefined || losing.signal.aborted || context.triedTargets.length === 0 || !this._options.placement.tryTakeRepeat(context.service)) {
+				// A request that still waits for its first target is not served sooner by a second one.
+				const lease = context.triedTargets.length === 0 ? undefined : await this._options.placement.tryAcquire(this._createDemand(context, route, losing.signal));
+				if (lease === undefined || losing.signal.aborted || !this._options.placement.tryTakeRepeat(context.service)) {
 					lease?.release(AttemptEnd.Unused);
+					waitToHedge(hedgeAgainShare);
 					return;
 				}
 
@@ -85,9 +89,16 @@
 				settle(await this._options.runner.run(context, lease, AbortSignal.any([context.signal, losing.signal])));
 			};
 
-			const timer = setTimeout(() => {
-				void hedge();
-			}, route.objectiveMs * hedgeShare);
+			const waitToHedge = (share: number) => {
+				if (!losing.signal.aborted && !context.signal.aborted) {
+					timer = setTimeout(() => {
+						void hedge();
+					}, route.objectiveMs * share);
+				}
+			};
+
+			let timer: NodeJS.Timeout | undefined;
+			waitToHedge(hedgeShare);
 			void this._settleFirst(first, settle);
 		});
 	}
--- a/src/io/gateway/encoded-member.ts
+++ b/src/io/gateway/encoded-member.ts
@@ -7,4 +7,5 @@
 	incarnation: number,
 	counter: number,
 	isServing: boolean,
+	canRead: boolean,
 ];
--- /dev/null
+++ b/src/io/gateway/read-gateway-settings.test.ts
@@ -0,0 +1,51 @@
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {
+	afterAll, describe, expect, it,
+} from 'vitest';
+import {readGatewaySettings} from './read-gateway-settings.js';
+
+const settings = {
+	instance: {id: 'edge-1', failureDomain: 'z-a', region: 'r'},
+	listeners: {
+		data: '10.0.0.1:1', readiness: '10.0.0.1:2', peer: '10.0.0.1:3', route: '10.0.0.1:4', metrics: '10.0.0.1:5',
+	},
+	seeds: ['10.0.0.2:3'],
+	isFirstStart: true,
+	registry: '10.0.0.3:9',
+	limits: {
+		stopMs: 6000, retryRatio: 0.2, retrySlack: 64, retryWindowMs: 10_000, probesPerTargetPerSecond: 60,
+	},
+};
+
+describe('readGatewaySettings', () => {
+	const folder = mkdtempSync(path.join(tmpdir(), 'settings-'));
+	const file = path.join(folder, 'settings.json');
+
+	afterAll(() => {
+		rmSync(folder, {recursive: true});
+	});
+
+	it('reads settings and ignores fields that it does not know', () => {
+		writeFileSync(file, JSON.stringify({...settings, later: 1}));
+		expect(readGatewaySettings(file)._unsafeUnwrap()).toEqual(settings);
+	});
+
+	it.each([
+		['an address without a port', {...settings, registry: '10.0.0.3'}, 'registry', '"10.0.0.3"'],
+		['a missing listener', {...settings, listeners: {...settings.listeners, data: undefined}}, 'listeners.data', 'missing'],
+		['a limit that is no number', {...settings, limits: {...settings.limits, stopMs: 'soon'}}, 'limits.stopMs', '"soon"'],
+		['a seed that is no text', {...settings, seeds: [7]}, 'seeds[0]', '7'],
+	])('refuses %s and names field and value', (_name, written, field, value) => {
+		writeFileSync(file, JSON.stringify(written));
+		const [first] = readGatewaySettings(file)._unsafeUnwrapErr();
+		expect(first).toMatchObject({field, value});
+		expect(first?.message).toMatch(/^must/v);
+	});
+
+	it('refuses a file that is no JSON', () => {
+		writeFileSync(file, '{"instance":');
+		expect(readGatewaySettings(file).isErr()).toBe(true);
+	});
+});
--- a/src/policy/gateway/member-table.test.ts
+++ b/src/policy/gateway/member-table.test.ts
@@ -3,7 +3,7 @@
 import {MemberTable} from './member-table.js';
 
 const createMember = (incarnation: number, counter: number, isServing = true): GatewayMember => ({
-	id: 'e', failureDomain: 'd', dataAddress: 'h:1', peerAddress: 'h:2', incarnation, counter, isServing,
+	id: 'e', failureDomain: 'd', dataAddress: 'h:1', peerAddress: 'h:2', incarnation, counter, isServing, canRead: true,
 });
 
 describe('MemberTable', () => {
--- a/src/policy/gateway/target-record.ts
+++ b/src/policy/gateway/target-record.ts
@@ -9,6 +9,8 @@
 /** First time without requests, in ms; doubled with each further one up to the longest. */
 const ejectMs = 1000;
 const longestEjectMs = 8000;
+/** Failure rate that is assumed of a target that has started again under its id: it lost what was in flight. */
+const restartFailureRate = 0.4;
 /** Time without probes after one that was not answered, in ms. */
 const silentMs = 250;
 /** Time for which a target that called itself failing or leaving is used only when no other is left, in ms. */
@@ -25,7 +27,7 @@
 	inFlight = 0;
 	private _load: TargetLoad | undefined;
 	private _loadAt = Number.NEGATIVE_INFINITY;
-	private _failureRate = 0;
+	private _failureRate: number;
 	private _ejectCount = 0;
 	private _blockedUntil = Number.NEGATIVE_INFINITY;
 	private _unhealthyUntil = Number.NEGATIVE_INFINITY;
@@ -35,8 +37,11 @@
 	/**
 	@param target - The record in the list of targets.
 	@param _listedAt - Time at which the target was first listed, in ms.
+	@param predecessor - Record of the target's life before, if it is known: one that has restarted once is likely to do so again.
 	*/
-	constructor(public target: GatewayTarget, private readonly _listedAt: number) {}
+	constructor(public target: GatewayTarget, private readonly _listedAt: number, predecessor?: TargetRecord) {
+		this._failureRate = predecessor === undefined ? 0 : Math.max(predecessor.failureRate, restartFailureRate);
+	}
 
 	/** The last report and its age in ms. */
 	getLoad(now: number): {readonly load: TargetLoad; readonly ageMs: number} | undefined {
