Explain a request from a folder of logs

Cause: on-call engineers have only logs; getting from an id to its cause took several searches over all instances. Change: rattansill-status explain prints the request's line, its cause, what else happened at its targets and on its instance. No change of the gateway.

--- a/src/bin/rattansill-status.ts
+++ b/src/bin/rattansill-status.ts
@@ -4,6 +4,8 @@
 import * as t from 'typanion';
 import {ExitCode} from '../common/exit-code.js';
 import {readFleetReport} from '../io/read-fleet-report.js';
+import {readLogFolder} from '../io/read-log-folder.js';
+import {explainLoggedRequest} from '../policy/status/explain-logged-request.js';
 import {formatFleetReport} from '../policy/status/format-fleet-report.js';
 import {runProgram} from './run-program.js';
 
@@ -48,4 +50,35 @@
 	}
 }
 
-await runProgram('rattansill-status', [StatusCommand]);
+class ExplainCommand extends Command {
+	static override paths = [['explain']];
+	static override usage = Command.Usage({
+		description: 'Explains from a folder of logs how a request ended',
+		details: 'Exit codes: 0 when a line names the request, 1 when none does, 2 when the folder cannot be read.',
+		examples: [['Explain a request', '$0 explain --logs logs --request 9c41d07be2a35f68']],
+	});
+
+	readonly logs = Option.String('--logs', {description: 'Folder with the log files of all instances', required: true});
+	readonly request = Option.String('--request', {description: 'Id of the request, as its caller sent it', required: true});
+
+	override async execute(): Promise<number> {
+		const {stdout, stderr} = this.context;
+		let lines: string[];
+		try {
+			lines = explainLoggedRequest(readLogFolder(this.logs), this.request);
+		} catch (error) {
+			stderr.write(`--logs ${this.logs}: ${(error as Error).message}\n`);
+			return ExitCode.Usage;
+		}
+
+		if (lines.length === 0) {
+			stderr.write(`--request ${this.request}: no line of the logs in ${this.logs} names it; of ordinary requests only a sample is logged\n`);
+			return ExitCode.Failure;
+		}
+
+		stdout.write(lines.map(line => `${line}\n`).join(''));
+		return ExitCode.Success;
+	}
+}
+
+await runProgram('rattansill-status', [StatusCommand, ExplainCommand]);
--- a/test/programs.test.ts
+++ b/test/programs.test.ts
@@ -183,3 +183,24 @@
 		expect(result.stdout + result.stderr).toContain(text);
 	});
 });
+
+describe('rattansill-status explain', () => {
+	const logs = mkdtempSync(path.join(tmpdir(), 'rattansill-logs-'));
+	writeFileSync(path.join(logs, 'e-1.log'), `cut line {"time"\n${JSON.stringify({
+		time: '2026-01-01T00:00:00.000Z', instance: 'e-1', event: 'request-explained', request: 'a-1', service: 's', error: 'queue-full', detail: 'two wait', outcome: 'not run', tookMs: 3, attempts: [],
+	})}\n`);
+
+	afterAll(() => {
+		rmSync(logs, {recursive: true, force: true});
+	});
+
+	it.each([
+		['a request that was logged', ['--logs', logs, '--request', 'a-1'], 0, /queue-full: two wait; outcome not run/v],
+		['a request that was not', ['--logs', logs, '--request', 'a-2'], 1, /--request a-2/v],
+		['a folder that does not exist', ['--logs', path.join(logs, 'none'), '--request', 'a-1'], 2, /--logs .*ENOENT/v],
+	] as const)('with %s', async (_name, options, code, text) => {
+		const result = await run('rattansill-status', ['explain', ...options]);
+		expect(result.code).toBe(code);
+		expect(result.stdout + result.stderr).toMatch(text);
+	});
+});
