--- a/src/controllers/gateway/service-placer.ts
+++ b/src/controllers/gateway/service-placer.ts
@@ -89,7 +89,7 @@
 	/** Places waiting requests: at places that are known to be free, and otherwise by asking targets. */
 	placeWaiting(): void {
 		const {clock, pool} = this._options;
-		let passed: Waiter[] = [];
+		const passed: Waiter[] = [];
 		for (let waiter = this._takeNext(); waiter !== undefined; waiter = this._takeNext()) {
 			const choice = pool.chooseKnown(waiter.demand.excludedTargets);
 			if (choice !== undefined && this._isAcceptable(choice, waiter)) {
@@ -105,7 +105,6 @@
 			this._waiters.add(waiter);
 		}
 
-		passed = [];
 		if (this._waiters.length > 0) {
 			this._waitToLookAgain();
 		}
--- a/src/controllers/gateway/source-reader.ts
+++ b/src/controllers/gateway/source-reader.ts
@@ -42,6 +42,9 @@
 /** Pause after a failed call, in ms, doubled by chance so that instances do not call together. */
 const failedPauseMs = 150;
 
+/** The same where a hub would tell of a success, in ms: calls in vain are priced. */
+const idleFailedPauseMs = 1000;
+
 /** Reads configuration and targets from the site's registry: always on a few instances, on the others while nobody tells them. */
 export class SourceReader implements DisposableLike {
 	private readonly _ending = new AbortController();
@@ -104,7 +107,7 @@
 			}
 
 			const isRead = await this._readConfiguration();
-			await (isRead ? this._watchConfiguration() : this._pause(unconfiguredPauseMs));
+			await (isRead ? this._watchConfiguration() : this._pause(Math.max(unconfiguredPauseMs, this._failedPauseMs)));
 		}
 	}
 
@@ -148,7 +151,7 @@
 	}
 
 	private get _failedPauseMs(): number {
-		return failedPauseMs * (1 + this._options.random());
+		return (this._options.isHub() ? failedPauseMs : idleFailedPauseMs) * (1 + this._options.random());
 	}
 
 	private _noteReachable(): void {
