Answer a scrape by 500 when metrics cannot be written

Cause: a rejected promise there would have ended the process; seen while reading the change, not in a run. Measured: the adapter's scrape passes; a failure of the library was not provoked.

--- a/src/bin/gateway-daemon.ts
+++ b/src/bin/gateway-daemon.ts
@@ -1,7 +1,9 @@
 import {Buffer} from 'node:buffer';
 import process from 'node:process';
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {err, ok, type Result} from 'neverthrow';
+import {
+	err, fromPromise, ok, type Result,
+} from 'neverthrow';
 import {createHTTPHandler} from '@trpc/server/adapters/standalone';
 import type {DisposableLike} from '../common/disposable-like.js';
 import {DisposableStore} from '../common/disposable-store.js';
@@ -270,7 +272,15 @@
 		this._metrics.recordGauge('configuration.version', version.configuration);
 		this._metrics.recordGauge('targets.age_ms', version.listAgeMs);
 		this._metrics.recordGauge('process.memory', process.memoryUsage.rss());
-		const body = await renderMetrics(this._metrics.series);
+		const rendered = await fromPromise(renderMetrics(this._metrics.series), error => error as Error);
+		if (rendered.isErr()) {
+			this._options.logger.logError('metrics-failed', {detail: rendered.error.message});
+			response.writeHead(500, {'content-length': 0});
+			response.end();
+			return;
+		}
+
+		const body = rendered.value;
 		response.writeHead(200, {'content-type': 'text/plain; version=0.0.4; charset=utf-8', 'content-length': Buffer.byteLength(body)});
 		response.end(body);
 	}
