Test the target pool and the placer by tables

Change: tables with targets that report loads, and with places of given durations. No change of code.

--- /dev/null
+++ b/src/controllers/gateway/service-placer.test.ts
@@ -0,0 +1,95 @@
+import {err, type Result} from 'neverthrow';
+import {
+	beforeEach, describe, expect, it,
+} from 'vitest';
+import {ErrorKind} from '../../common/error-kind.js';
+import {RequestError} from '../../common/request-error.js';
+import type {PlacementDemand} from './placement-demand.js';
+import {ServicePlacer} from './service-placer.js';
+import type {TargetChoice} from './target-choice.js';
+import type {TargetLease} from './target-lease.js';
+import type {TargetPool} from './target-pool.js';
+
+const usualMs = 100;
+const lease = {target: {id: 'i-1'}} as unknown as TargetLease;
+
+const createChoice = (estimateMs: number): TargetChoice => ({
+	place: undefined as unknown as TargetChoice['place'], estimateMs, isFree: true, isIdle: estimateMs <= usualMs,
+});
+
+describe('ServicePlacer', () => {
+	let choice: TargetChoice | undefined;
+	let size = 1;
+	let isExhausted = false;
+	let placer: ServicePlacer;
+
+	const createDemand = (fields: Partial<PlacementDemand> = {}): PlacementDemand => ({
+		service: 's', priority: 1, objectiveAt: 400, deadlineAt: 3000, excludedTargets: [], signal: new AbortController().signal, ...fields,
+	});
+
+	const describeResult = (result: Result<TargetLease, RequestError>): string => result.match(({target}) => target.id, ({kind}) => kind);
+
+	beforeEach(() => {
+		choice = undefined;
+		size = 1;
+		isExhausted = false;
+		const pool = {
+			times: {usualMs, meanMs: usualMs},
+			inFlight: 1,
+			get size() {
+				return size;
+			},
+			isExhausted: () => isExhausted,
+			chooseKnown: () => choice,
+			chooseAsked: async () => choice,
+			grant: () => lease,
+		};
+		placer = new ServicePlacer({pool: pool as unknown as TargetPool, clock: {now: () => 0}});
+	});
+
+	it.each([
+		['takes an idle target', 100, {}, 'i-1'],
+		['takes a slowed target where it is still in time', 390, {}, 'i-1'],
+	])('%s', async (_name, estimateMs, fields, end) => {
+		choice = createChoice(estimateMs);
+		expect(describeResult(await placer.acquire(createDemand(fields)))).toBe(end);
+	});
+
+	it.each([
+		['the service has no target', () => {
+			size = 0;
+		}],
+		['each target was tried', () => {
+			isExhausted = true;
+		}],
+	])('refuses at once when %s', async (_name, prepare) => {
+		prepare();
+		expect(describeResult(await placer.acquire(createDemand()))).toBe(ErrorKind.NoTarget);
+	});
+
+	it('holds a request that a slowed target would make late until a better one is free', async () => {
+		choice = createChoice(500);
+		const held = placer.acquire(createDemand());
+		await new Promise(resolve => {
+			setTimeout(resolve, 5);
+		});
+		expect(placer.waitingCount).toBe(1);
+		choice = createChoice(100);
+		placer.placeWaiting();
+		expect(describeResult(await held)).toBe('i-1');
+	});
+
+	it('refuses a request that could not be in time behind those that wait', async () => {
+		const ending = new AbortController();
+		const waiting = Array.from({length: 3}, async () => placer.acquire(createDemand({signal: ending.signal})));
+		await new Promise(resolve => {
+			setTimeout(resolve, 5);
+		});
+		const refused = await placer.acquire(createDemand({objectiveAt: 350}));
+		expect(refused._unsafeUnwrapErr()).toMatchObject({kind: ErrorKind.QueueFull, retryAfterMs: 300});
+		ending.abort(new RequestError(ErrorKind.CallerGone, 'the caller left'));
+		expect(await Promise.all(waiting)).toEqual(Array.from({length: 3}, () => err(ending.signal.reason)));
+		expect(placer.waitingCount).toBe(0);
+		placer.dispose();
+	});
+});
--- /dev/null
+++ b/src/controllers/gateway/target-pool.test.ts
@@ -0,0 +1,108 @@
+import {
+	afterEach, beforeEach, describe, expect, it,
+} from 'vitest';
+import {gatewayTarget} from '../../../test/support/gateway-target.js';
+import {AttemptEnd} from '../../common/gateway/attempt-end.js';
+import type {TargetLoad} from '../../common/gateway/target-load.js';
+import {disabledMetrics} from '../../io/disabled-metrics.js';
+import {TargetPool} from './target-pool.js';
+import type {TargetProber} from './target-prober.js';
+
+const idle: TargetLoad = {
+	running: 0, waiting: 0, slots: 6, slowdown: 1,
+};
+
+describe('TargetPool', () => {
+	let now = 10_000;
+	let loads = new Map<string, TargetLoad>();
+	let asked: string[] = [];
+	let pool: TargetPool;
+
+	/** Targets of the own failure domain are named a-, others b-. */
+	const createPool = (ids: readonly string[], probeRate = 1000): TargetPool => {
+		const prober = {
+			async probe(_client: unknown, _path: string, id: string) {
+				asked.push(id);
+				const load = loads.get(id);
+				return load === undefined ? undefined : {isHealthy: true, targetId: id, load};
+			},
+		};
+		const created = new TargetPool({
+			service: {name: 's', healthPath: '/health', connectionsPerTarget: 10},
+			failureDomain: 'a',
+			clock: {now: () => now},
+			random: () => 0,
+			prober: prober as unknown as TargetProber,
+			metrics: disabledMetrics,
+			maxConnections: 2,
+			getProbeRate: () => probeRate,
+			onRelease: () => undefined,
+		});
+		created.update(ids.map(id => ({
+			...gatewayTarget, id, slots: 6, warmUpLeftMs: 0, failureDomain: id.slice(0, 1),
+		})));
+		return created;
+	};
+
+	beforeEach(() => {
+		now = 10_000;
+		loads = new Map();
+		asked = [];
+	});
+
+	afterEach(() => {
+		pool.dispose();
+	});
+
+	it.each([
+		['an idle target of its own domain, without asking others', {'a-1': idle, 'b-1': idle}, 'a-1', ['a-1']],
+		['one of another domain when its own is slowed', {'a-1': {...idle, slowdown: 4}, 'b-1': idle}, 'b-1', ['a-1', 'b-1']],
+		['one of another domain when its own runs as many as it should', {'a-1': {...idle, running: 4}, 'b-1': idle}, 'b-1', ['a-1', 'b-1']],
+		['the lesser evil when all are slowed', {'a-1': {...idle, slowdown: 4}, 'b-1': {...idle, slowdown: 2}}, 'b-1', ['a-1', 'b-1']],
+		['none when all are full', {'a-1': {...idle, running: 6}, 'b-1': {...idle, running: 3, waiting: 2}}, undefined, ['a-1', 'b-1']],
+	] as const)('chooses %s', async (_name, reported, chosen, probed) => {
+		loads = new Map(Object.entries(reported));
+		pool = createPool(['a-1', 'b-1']);
+		const choice = await pool.chooseAsked([]);
+		expect(choice?.place.record.target.id).toBe(chosen);
+		expect(asked).toEqual(probed);
+	});
+
+	it('does not choose a target whose load it once knew and cannot ask now', async () => {
+		loads.set('a-1', idle);
+		pool = createPool(['a-1'], 0.1);
+		const known = await pool.chooseAsked([]);
+		expect(known?.isFree).toBe(true);
+		now += 500;
+		expect(await pool.chooseAsked([])).toBeUndefined();
+		expect(asked).toHaveLength(1);
+	});
+
+	it('does not ask a target again that has just reported no room', async () => {
+		loads.set('a-1', {...idle, running: 6});
+		pool = createPool(['a-1']);
+		await pool.chooseAsked([]);
+		now += 20;
+		await pool.chooseAsked([]);
+		expect(asked).toHaveLength(1);
+		now += 100;
+		await pool.chooseAsked([]);
+		expect(asked).toHaveLength(2);
+	});
+
+	it('takes the report of an answer for a free place, without the answered request', async () => {
+		loads.set('a-1', {...idle, running: 3});
+		pool = createPool(['a-1']);
+		const choice = await pool.chooseAsked([]);
+		if (choice === undefined) {
+			throw new Error('the target has room');
+		}
+
+		const lease = pool.grant(choice);
+		expect(pool.chooseKnown([])).toBeUndefined();
+		now += 200;
+		lease.release(AttemptEnd.Answered, {...idle, running: 4});
+		expect(pool.chooseKnown([])?.isFree).toBe(true);
+		expect(pool.inFlight).toBe(0);
+	});
+});
