--- a/src/bin/gateway-daemon.ts
+++ b/src/bin/gateway-daemon.ts
@@ -1,6 +1,7 @@
 import {Buffer} from 'node:buffer';
 import process from 'node:process';
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
 import {
 	err, fromPromise, ok, type Result,
 } from 'neverthrow';
@@ -16,6 +17,7 @@
 import {PlacementController} from '../controllers/gateway/placement-controller.js';
 import {SiteView} from '../controllers/gateway/site-view.js';
 import {SourceReader} from '../controllers/gateway/source-reader.js';
+import {StateReporter} from '../controllers/gateway/state-reporter.js';
 import {ShutdownController} from '../controllers/shutdown-controller.js';
 import {FilterChain} from '../filters/filter-chain.js';
 import {AttemptRunner} from '../filters/gateway/attempt-runner.js';
@@ -30,6 +32,7 @@
 import {OutcomeFilter} from '../filters/outcome-filter.js';
 import {ShutdownFilter} from '../filters/shutdown-filter.js';
 import {BoundedLogger} from '../io/gateway/bounded-logger.js';
+import {ByteMeter} from '../io/gateway/byte-meter.js';
 import {createSyncRouter} from '../io/gateway/create-sync-router.js';
 import {renderMetrics} from '../io/gateway/render-metrics.js';
 import {ScrapedMetrics} from '../io/gateway/scraped-metrics.js';
@@ -56,6 +59,8 @@
 export class GatewayDaemon implements DisposableLike {
 	private readonly _store = new DisposableStore();
 	private readonly _metrics = new ScrapedMetrics();
+	private readonly _peerMeter = new ByteMeter();
+	private readonly _reporter: StateReporter;
 	private readonly _view: SiteView;
 	private readonly _members: MemberController;
 	private readonly _reader: SourceReader;
@@ -83,7 +88,7 @@
 				incarnation: Date.now(),
 			},
 			seeds: settings.seeds,
-			client: this._store.add(new SyncClient()),
+			client: this._store.add(new SyncClient(this._peerMeter, this._metrics)),
 			view: this._view,
 			clock: systemClock,
 			logger,
@@ -105,6 +110,14 @@
 			},
 			waitsForPeers: settings.isFirstStart,
 		}));
+		this._reporter = this._store.add(new StateReporter({
+			view: this._view,
+			logger,
+			metrics: this._metrics,
+			clock: systemClock,
+			countInstances: () => this._members.listLive().length,
+			countPeerBytes: () => this._peerMeter.totalBytes,
+		}));
 		this._entries = new EntryController({members: this._members, view: this._view, failureDomain: settings.instance.failureDomain});
 		this._shutdown = this._store.add(this._createShutdown());
 		this._placement = this._store.add(new PlacementController({
@@ -128,6 +141,9 @@
 		this._peerListener = this._store.add(new HttpListener({keepAliveTimeout: 30_000}, (request, response) => {
 			handler(request, response);
 		}));
+		this._peerListener.server.on('connection', (socket: Socket) => {
+			this._peerMeter.add(socket);
+		});
 		this._metricsListener = this._store.add(new HttpListener({}, (_request, response) => {
 			void this._answerMetrics(response);
 		}));
@@ -150,6 +166,7 @@
 
 		void this._reader.start();
 		this._members.start();
+		this._reporter.start();
 		this._store.add(this._view.onConfiguration(() => {
 			this._updateServing();
 			this._announceChange();
--- /dev/null
+++ b/src/controllers/gateway/state-reporter.ts
@@ -0,0 +1,68 @@
+import type {Clock} from '../../common/clock.js';
+import type {DisposableLike} from '../../common/disposable-like.js';
+import type {Logger} from '../../common/logger.js';
+import type {Metrics} from '../../common/metrics.js';
+import type {SiteView} from './site-view.js';
+
+type StateReporterOptions = {
+	readonly view: SiteView;
+	readonly logger: Logger;
+	readonly metrics: Metrics;
+	readonly clock: Clock;
+	/** Instances that count as running. */
+	readonly countInstances: () => number;
+	/** Bytes that exchanges with peers have taken since the start. */
+	readonly countPeerBytes: () => number;
+};
+
+/** Time between two checks of the event loop's delay, in ms. */
+const checkMs = 500;
+/** Checks between two lines; a line takes 0.1 ms. */
+const checksPerLine = 10;
+
+/** Logs at regular intervals what this instance knows and what control costs it. */
+export class StateReporter implements DisposableLike {
+	private _timer: NodeJS.Timeout | undefined;
+	private _checkedAt = 0;
+	private _checks = 0;
+	private _worstDelayMs = 0;
+	private _reportedBytes = 0;
+
+	constructor(private readonly _options: StateReporterOptions) {}
+
+	/** Begins to report. */
+	start(): void {
+		this._checkedAt = this._options.clock.now();
+		this._timer = setInterval(() => {
+			this._check();
+		}, checkMs).unref();
+	}
+
+	dispose(): void {
+		clearInterval(this._timer);
+	}
+
+	private _check(): void {
+		const now = this._options.clock.now();
+		this._worstDelayMs = Math.max(this._worstDelayMs, now - this._checkedAt - checkMs);
+		this._checkedAt = now;
+		this._checks++;
+		if (this._checks % checksPerLine === 0) {
+			this._report();
+		}
+	}
+
+	private _report(): void {
+		const {view, logger, metrics, countInstances, countPeerBytes} = this._options;
+		const bytes = countPeerBytes();
+		const peerBytesPerSecond = Math.round((bytes - this._reportedBytes) * 1000 / (checkMs * checksPerLine));
+		const loopDelayMs = Math.max(0, Math.round(this._worstDelayMs));
+		metrics.recordGauge('peer.bytes_per_second', peerBytesPerSecond);
+		metrics.recordGauge('process.loop_delay', loopDelayMs);
+		logger.logInfo('gateway-state', {
+			configuration: view.version.configuration, targetsAgeMs: view.version.listAgeMs, instances: countInstances(), peerBytesPerSecond, loopDelayMs,
+		});
+		this._reportedBytes = bytes;
+		this._worstDelayMs = 0;
+	}
+}
--- a/src/io/gateway/sync-client.ts
+++ b/src/io/gateway/sync-client.ts
@@ -1,10 +1,12 @@
-import {Agent} from 'node:http';
 import {createTRPCClient, httpLink, type TRPCClient} from '@trpc/client';
 import {fromPromise, type Result} from 'neverthrow';
 import type {DisposableLike} from '../../common/disposable-like.js';
 import type {SyncMessage} from '../../common/gateway/sync-message.js';
+import type {Metrics} from '../../common/metrics.js';
+import type {ByteMeter} from './byte-meter.js';
 import {decodeMember} from './decode-member.js';
 import {encodeMember} from './encode-member.js';
+import {MeteredAgent} from './metered-agent.js';
 import {sendJson} from './send-json.js';
 import type {SyncRouter} from './sync-router.js';
 
@@ -13,13 +15,19 @@
 
 /** Exchanges messages with other instances over connections that are kept open. */
 export class SyncClient implements DisposableLike {
-	private readonly _agent = new Agent({keepAlive: true, maxSockets: 2, noDelay: true});
+	private readonly _agent: MeteredAgent;
 	private readonly _clients = new Map<string, TRPCClient<SyncRouter>>();
 
+	/** @param meter - Counts what the exchanges carry. */
+	constructor(meter: ByteMeter, private readonly _metrics: Metrics) {
+		this._agent = new MeteredAgent({maxSockets: 2, noDelay: true}, meter);
+	}
+
 	/** Sends a message to a peer and resolves with its answer. */
 	async exchange(peerAddress: string, message: SyncMessage): Promise<Result<SyncMessage, Error>> {
 		const envelope = {...message, members: message.members.map(member => encodeMember(member))};
 		const exchanged = await fromPromise(this._getClient(peerAddress).sync.mutate(envelope), error => error as Error);
+		this._metrics.countEvent('peer.exchanges', {result: exchanged.isOk() ? 'answered' : 'failed'});
 		return exchanged.map(answer => ({...(answer), members: (answer).members.map(member => decodeMember(member))}));
 	}
 
