--- /dev/null
+++ b/src/controllers/gateway/placement-controller.test.ts
@@ -0,0 +1,55 @@
+import {describe, expect, it} from 'vitest';
+import {disabledMetrics} from '../../io/disabled-metrics.js';
+import {silentLogger} from '../../../test/support/silent-logger.js';
+import {PlacementController} from './placement-controller.js';
+import {SiteView} from './site-view.js';
+
+const windowMs = 10_000;
+const limits = {
+	stopMs: 6000, retryRatio: 0.2, retrySlack: 196, retryWindowMs: windowMs, probesPerTargetPerSecond: 42,
+};
+
+describe('PlacementController', () => {
+	it.each([18, 125, 300])('lets %i instances together take no more repeats than the fleet may', count => {
+		const clock = {now: () => 2 * windowMs};
+		let taken = 0;
+		for (let index = 0; index < count; index++) {
+			const view = new SiteView({clock, logger: silentLogger});
+			const placement = new PlacementController({
+				settings: {
+					instance: {id: `i-${index}`, failureDomain: 'a', region: 'r'},
+					listeners: {
+						data: '', readiness: '', peer: '', route: '', metrics: '',
+					},
+					seeds: [],
+					isFirstStart: true,
+					registry: '',
+					limits,
+				},
+				view,
+				headers: {
+					requestId: '', timeoutMs: '', signature: '', expectedTarget: '', targetId: '', load: '', notRun: '',
+				},
+				metrics: disabledMetrics,
+				clock,
+				random: () => 0,
+				countInstances: () => count,
+			});
+			view.offerConfiguration({
+				version: 1,
+				routes: [],
+				services: [{name: 's', healthPath: '/', connectionsPerTarget: 260}],
+				limits: {
+					headerBytes: 1, bodyBytes: 1, headersTimeoutMs: 1, idleTimeoutMs: 1,
+				},
+			});
+			while (placement.tryTakeRepeat('s')) {
+				taken++;
+			}
+
+			placement.dispose();
+		}
+
+		expect(taken).toBeLessThanOrEqual(limits.retrySlack);
+	});
+});
