--- a/src/bin/gateway-daemon.ts
+++ b/src/bin/gateway-daemon.ts
@@ -40,6 +40,7 @@
 import {SyncClient} from '../io/gateway/sync-client.js';
 import {HttpListener} from '../io/http-listener.js';
 import {systemClock} from '../io/system-clock.js';
+import {FleetShare} from '../policy/gateway/fleet-share.js';
 
 type GatewayDaemonOptions = {
 	readonly settings: GatewaySettings;
@@ -127,7 +128,13 @@
 			metrics: this._metrics,
 			clock: systemClock,
 			random: Math.random,
-			countInstances: () => this._members.listLive().length,
+			share: new FleetShare({
+				clock: systemClock,
+				failureDomains: settings.failureDomains.length,
+				windowMs: settings.limits.retryWindowMs,
+				countLocal: () => this._members.localCount,
+				isJoined: () => this._members.isJoined,
+			}),
 		}));
 		this._chain = this._createChain();
 		this._dataListener = this._store.add(this._createDataListener());
--- a/src/common/gateway/gateway-settings-schema.ts
+++ b/src/common/gateway/gateway-settings-schema.ts
@@ -11,6 +11,7 @@
 	listeners: z.object({
 		data: address, readiness: address, peer: address, route: address, metrics: address,
 	}, {error: 'must be an object'}),
+	failureDomains: z.array(text, {error: 'must be a list'}).check(z.minLength(1, 'must not be empty')),
 	seeds: z.array(address, {error: 'must be a list'}),
 	isFirstStart: z.boolean({error: 'must be true or false'}),
 	registry: address,
--- a/src/common/gateway/gateway-settings.ts
+++ b/src/common/gateway/gateway-settings.ts
@@ -14,6 +14,8 @@
 		/** Serves metrics to whoever scrapes them. */
 		readonly metrics: string;
 	};
+	/** All failure domains of the site, reachable or not; bounds of the fleet are divided among them. */
+	readonly failureDomains: readonly string[];
 	/** Peer addresses of instances to find the fleet by, as host:port; some may be stale. */
 	readonly seeds: readonly string[];
 	/** True when the whole site starts for the first time: instances then wait for each other before they read the registry. */
--- a/src/controllers/gateway/member-controller.ts
+++ b/src/controllers/gateway/member-controller.ts
@@ -76,6 +76,16 @@
 		return this.isHub && pickHub(this._listHubs())?.id === this._self.id;
 	}
 
+	/** Instances of the own failure domain that count as running, this one included. */
+	get localCount(): number {
+		return this._listLocal().length;
+	}
+
+	/** False while this instance should know others and has heard of none. */
+	get isJoined(): boolean {
+		return this._table.members.length > 0 || this._seeds.every(seed => seed === this._self.peerAddress);
+	}
+
 	/** Starts the rounds. */
 	start(): void {
 		void this.runRound();
--- a/src/controllers/gateway/placement-controller.test.ts
+++ b/src/controllers/gateway/placement-controller.test.ts
@@ -1,6 +1,7 @@
 import {describe, expect, it} from 'vitest';
 import {disabledMetrics} from '../../io/disabled-metrics.js';
 import {silentLogger} from '../../../test/support/silent-logger.js';
+import {FleetShare} from '../../policy/gateway/fleet-share.js';
 import {PlacementController} from './placement-controller.js';
 import {SiteView} from './site-view.js';
 
@@ -11,7 +12,12 @@
 
 describe('PlacementController', () => {
 	it.each([18, 125, 300])('lets %i instances together take no more repeats than the fleet may', count => {
-		const clock = {now: () => 2 * windowMs};
+		let now = 0;
+		const clock = {now: () => now};
+		const share = new FleetShare({
+			clock, failureDomains: 1, windowMs, countLocal: () => count, isJoined: () => true,
+		});
+		now = windowMs;
 		let taken = 0;
 		for (let index = 0; index < count; index++) {
 			const view = new SiteView({clock, logger: silentLogger});
@@ -21,6 +27,7 @@
 					listeners: {
 						data: '', readiness: '', peer: '', route: '', metrics: '',
 					},
+					failureDomains: ['a'],
 					seeds: [],
 					isFirstStart: true,
 					registry: '',
@@ -33,7 +40,7 @@
 				metrics: disabledMetrics,
 				clock,
 				random: () => 0,
-				countInstances: () => count,
+				share,
 			});
 			view.offerConfiguration({
 				version: 1,
--- a/src/controllers/gateway/placement-controller.ts
+++ b/src/controllers/gateway/placement-controller.ts
@@ -7,6 +7,7 @@
 import type {HeaderVocabulary} from '../../common/gateway/header-vocabulary.js';
 import type {Metrics} from '../../common/metrics.js';
 import {RequestError} from '../../common/request-error.js';
+import type {FleetShare} from '../../policy/gateway/fleet-share.js';
 import {RetryAllowance} from '../../policy/gateway/retry-allowance.js';
 import type {PlacementDemand} from './placement-demand.js';
 import {ServicePlacer} from './service-placer.js';
@@ -22,16 +23,14 @@
 	readonly metrics: Metrics;
 	readonly clock: Clock;
 	readonly random: () => number;
-	/** Instances that run now, this one included. */
-	readonly countInstances: () => number;
+	/** This instance's part of what the fleet may use. */
+	readonly share: Pick<FleetShare, 'divide' | 'divideSum'>;
 };
 
 type ServiceState = {readonly pool: TargetPool; readonly placer: ServicePlacer; readonly retries: RetryAllowance};
 
-/** Instances for which a share of a bound is kept free, running or added; sites of this kind have up to 22. */
-const maxInstances = 24;
-/** Share of the fleet's bounds that is used, which leaves room for what is in flight when instances change. */
-const usedShare = 0.8;
+/** Part of the allowed ratio of repeats that is used: a repeat is counted up to ten seconds after the request that allows it. */
+const usedRatio = 0.8;
 
 /** Holds what belongs to each service: places at targets and the budget of repeated requests. */
 export class PlacementController implements DisposableLike {
@@ -107,7 +106,7 @@
 	}
 
 	private _createService(service: GatewayService): ServiceState {
-		const {settings, headers, metrics, clock, random, countInstances} = this._options;
+		const {settings, headers, metrics, clock, random, share} = this._options;
 		const {limits, instance} = settings;
 		const pool = new TargetPool({
 			service,
@@ -116,8 +115,8 @@
 			random,
 			prober: new TargetProber(headers),
 			metrics,
-			maxConnections: Math.max(2, Math.floor((service.connectionsPerTarget * usedShare) / maxInstances)),
-			getProbeRate: () => (limits.probesPerTargetPerSecond * usedShare) / Math.max(1, countInstances()),
+			getMaxConnections: () => Math.max(1, Math.floor(share.divide(service.connectionsPerTarget))),
+			getProbeRate: () => share.divide(limits.probesPerTargetPerSecond),
 			onRelease() {
 				placer.placeWaiting();
 			},
@@ -126,7 +125,7 @@
 		return {
 			pool,
 			placer,
-			retries: new RetryAllowance({ratio: limits.retryRatio * usedShare, slack: (limits.retrySlack * usedShare) / maxInstances, windowMs: limits.retryWindowMs}),
+			retries: new RetryAllowance({ratio: limits.retryRatio * usedRatio, getSlack: () => share.divideSum(limits.retrySlack), windowMs: limits.retryWindowMs}),
 		};
 	}
 }
--- a/src/controllers/gateway/target-pool.test.ts
+++ b/src/controllers/gateway/target-pool.test.ts
@@ -34,7 +34,7 @@
 			random: () => 0,
 			prober: prober as unknown as TargetProber,
 			metrics: disabledMetrics,
-			maxConnections: 2,
+			getMaxConnections: () => 2,
 			getProbeRate: () => probeRate,
 			onRelease: () => undefined,
 		});
--- a/src/controllers/gateway/target-pool.ts
+++ b/src/controllers/gateway/target-pool.ts
@@ -23,8 +23,8 @@
 	readonly random: () => number;
 	readonly prober: TargetProber;
 	readonly metrics: Metrics;
-	/** Connections that this instance may hold to one target. */
-	readonly maxConnections: number;
+	/** Connections that this instance may hold to one target at this moment. */
+	readonly getMaxConnections: () => number;
 	/** Probes that this instance may send to one target at this moment, a second. */
 	readonly getProbeRate: () => number;
 	/** Called after a place was given back. */
@@ -73,7 +73,7 @@
 
 	/** Takes the service's targets from the newest list; requests in flight at others go on. */
 	update(targets: readonly GatewayTarget[]): void {
-		const {clock, maxConnections, getProbeRate} = this._options;
+		const {clock, getMaxConnections, getProbeRate} = this._options;
 		const listed = new Map(targets.filter(target => !target.isLeaving).map(target => [`${target.id} ${target.startedAt}`, target]));
 		const gone = new Map<string, TargetRecord>();
 		for (const [key, place] of this._places) {
@@ -89,7 +89,7 @@
 			if (!this._places.has(key)) {
 				this._places.set(key, {
 					record: new TargetRecord(target, clock.now(), gone.get(target.id)),
-					client: new TargetClient({host: target.host, port: target.port, maxConnections}),
+					client: new TargetClient({host: target.host, port: target.port, getMaxConnections}),
 					probes: new RateBudget({getRate: getProbeRate, burstSeconds: probeBurstSeconds}, clock.now()),
 					probing: undefined,
 				});
--- a/src/io/gateway/read-gateway-settings.test.ts
+++ b/src/io/gateway/read-gateway-settings.test.ts
@@ -11,6 +11,7 @@
 	listeners: {
 		data: '10.0.0.1:1', readiness: '10.0.0.1:2', peer: '10.0.0.1:3', route: '10.0.0.1:4', metrics: '10.0.0.1:5',
 	},
+	failureDomains: ['z-a', 'z-b'],
 	seeds: ['10.0.0.2:3'],
 	isFirstStart: true,
 	registry: '10.0.0.3:9',
@@ -37,6 +38,7 @@
 		['a missing listener', {...settings, listeners: {...settings.listeners, data: undefined}}, 'listeners.data', 'missing'],
 		['a limit that is no number', {...settings, limits: {...settings.limits, stopMs: 'soon'}}, 'limits.stopMs', '"soon"'],
 		['a seed that is no text', {...settings, seeds: [7]}, 'seeds[0]', '7'],
+		['no failure domain', {...settings, failureDomains: []}, 'failureDomains', '[]'],
 	])('refuses %s and names field and value', (_name, written, field, value) => {
 		writeFileSync(file, JSON.stringify(written));
 		const [first] = readGatewaySettings(file)._unsafeUnwrapErr();
--- a/src/io/gateway/target-client.test.ts
+++ b/src/io/gateway/target-client.test.ts
@@ -31,7 +31,7 @@
 		await new Promise<void>(resolve => {
 			created.listen(0, '127.0.0.1', resolve);
 		});
-		return new TargetClient({host: '127.0.0.1', port: (created.address() as AddressInfo).port, maxConnections: 2});
+		return new TargetClient({host: '127.0.0.1', port: (created.address() as AddressInfo).port, getMaxConnections: () => 2});
 	};
 
 	const send = async (client: TargetClient) => client.sendRequest({
--- a/src/io/gateway/target-client.ts
+++ b/src/io/gateway/target-client.ts
@@ -13,8 +13,8 @@
 type TargetClientOptions = {
 	readonly host: string;
 	readonly port: number;
-	/** Connections that this instance may hold to the target. */
-	readonly maxConnections: number;
+	/** Connections that this instance may hold to the target at this moment. */
+	readonly getMaxConnections: () => number;
 };
 
 /** Idle time after which a connection is closed, in ms; targets close theirs after 10 s or state a time of their own. */
@@ -27,9 +27,7 @@
 	private readonly _agent: TargetAgent;
 
 	constructor(private readonly _options: TargetClientOptions) {
-		this._agent = new TargetAgent({
-			maxSockets: _options.maxConnections, maxFreeSockets: _options.maxConnections, timeout: idleTimeoutMs, noDelay: true,
-		});
+		this._agent = new TargetAgent({timeout: idleTimeoutMs, noDelay: true});
 	}
 
 	/** Whether a connection is open and waits for a request. */
@@ -39,6 +37,7 @@
 
 	/** Sends a request and resolves when the answer is whole or can no longer become so. */
 	async sendRequest(outgoing: OutgoingRequest): Promise<TargetExchange> {
+		this._limitConnections();
 		const {method, path, rawHeaders, body, signal} = outgoing;
 		const headers = body.length > 0 ? [...rawHeaders, 'content-length', String(body.length)] : [...rawHeaders];
 		const {host, port} = this._options;
@@ -71,6 +70,7 @@
 
 	/** Sends a health check and resolves with the head of the answer; undefined when there is none in time. */
 	async sendProbe(path: string, hostHeader: string, timeoutMs: number): Promise<Pick<WholeAnswer, 'status' | 'rawHeaders'> | undefined> {
+		this._limitConnections();
 		const {host, port} = this._options;
 		return new Promise(resolve => {
 			const request = openRequest({
@@ -100,6 +100,12 @@
 		this._agent.destroy();
 	}
 
+	private _limitConnections(): void {
+		const maxConnections = this._options.getMaxConnections();
+		this._agent.maxSockets = maxConnections;
+		this._agent.maxFreeSockets = maxConnections;
+	}
+
 	private _watchConnect(request: ClientRequest, markConnected: () => void): void {
 		request.once('socket', socket => {
 			if (!socket.connecting) {
--- a/src/policy/gateway/retry-allowance.test.ts
+++ b/src/policy/gateway/retry-allowance.test.ts
@@ -2,7 +2,8 @@
 import {describe, expect, it} from 'vitest';
 import {RetryAllowance} from './retry-allowance.js';
 
-const options = {ratio: 0.2, slack: 2, windowMs: 10_000};
+const slack = 2;
+const options = {ratio: 0.2, getSlack: () => slack, windowMs: 10_000};
 
 describe('RetryAllowance', () => {
 	it.each([
@@ -44,7 +45,7 @@
 				const inWindow = repeats.filter(at => at <= end && at > end - options.windowMs).length;
 				// Requests are counted in the window or the one before it, as the pieces leave as a whole.
 				const counted = requests.filter(at => at <= end && at > end - (2 * options.windowMs)).length;
-				expect(inWindow).toBeLessThanOrEqual((counted * options.ratio) + options.slack);
+				expect(inWindow).toBeLessThanOrEqual((counted * options.ratio) + slack);
 			}
 		}), {seed: 11, numRuns: 300});
 	});
--- a/src/policy/gateway/retry-allowance.ts
+++ b/src/policy/gateway/retry-allowance.ts
@@ -3,8 +3,8 @@
 type RetryAllowanceOptions = {
 	/** Repeated requests allowed as a share of first ones. */
 	readonly ratio: number;
-	/** This instance's part of the repeated requests that the fleet may send besides, in one window. */
-	readonly slack: number;
+	/** This instance's part, at this moment, of the repeated requests that the fleet may send besides, in one window. */
+	readonly getSlack: () => number;
 	/** Length of the sliding window, in ms. */
 	readonly windowMs: number;
 };
@@ -47,7 +47,7 @@
 			repeats += again;
 		}
 
-		return (requests * this._options.ratio) + this._options.slack - repeats;
+		return (requests * this._options.ratio) + this._options.getSlack() - repeats;
 	}
 
 	private _getPiece(now: number): Window {
