--- a/src/bin/gateway-daemon.ts
+++ b/src/bin/gateway-daemon.ts
@@ -86,12 +86,14 @@
 				failureDomain: settings.instance.failureDomain,
 				dataAddress: settings.listeners.data,
 				peerAddress: settings.listeners.peer,
+				cores: settings.limits.cores,
 				incarnation: Date.now(),
 			},
 			seeds: settings.seeds,
 			client: this._store.add(new SyncClient(this._peerMeter, this._metrics)),
 			view: this._view,
 			clock: systemClock,
+			random: Math.random,
 			logger,
 		}));
 		this._reader = this._store.add(new SourceReader({
@@ -101,22 +103,22 @@
 			metrics: this._metrics,
 			random: Math.random,
 			isReader: () => this._members.isReader,
-			isHub: () => this._members.isHub,
+			isDeputy: () => this._members.isDeputy,
+			isJoined: () => this._members.isJoined,
 			clock: systemClock,
-			onTargetsRead: isRead => {
-				this._members.setCanRead(isRead);
-				if (isRead) {
-					this._shareWithHubs();
-				}
+			onRead: canRead => {
+				this._members.setCanRead(canRead);
 			},
 			waitsForPeers: settings.isFirstStart,
+			targetChangeMs: settings.limits.targetChangeMs,
+			configurationChangeMs: settings.limits.configurationChangeMs,
 		}));
 		this._reporter = this._store.add(new StateReporter({
 			view: this._view,
 			logger,
 			metrics: this._metrics,
 			clock: systemClock,
-			countInstances: () => this._members.listLive().length,
+			countInstances: () => this._members.listRunning().length,
 			countPeerBytes: () => this._peerMeter.totalBytes,
 		}));
 		this._entries = new EntryController({members: this._members, view: this._view, failureDomain: settings.instance.failureDomain});
@@ -144,7 +146,7 @@
 		this._routeListener = this._store.add(new HttpListener({}, (request, response) => {
 			this._answerQuestion(request, response);
 		}));
-		const handler = createHTTPHandler({router: createSyncRouter(message => this._members.handleMessage(message))});
+		const handler = createHTTPHandler({router: createSyncRouter(this._members)});
 		this._peerListener = this._store.add(new HttpListener({keepAliveTimeout: 30_000}, (request, response) => {
 			handler(request, response);
 		}));
@@ -176,12 +178,9 @@
 		this._reporter.start();
 		this._store.add(this._view.onConfiguration(() => {
 			this._updateServing();
-			this._announceChange();
-			this._shareWithHubs();
 		}));
 		this._store.add(this._view.onTargets(() => {
 			this._updateServing();
-			this._announceChange();
 		}));
 		this._options.logger.logInfo('gateway-started', {listeners, filters: this._chain.names});
 		return ok();
@@ -202,7 +201,9 @@
 
 	/** Resolves at the end of a planned stop with the number of requests that it cut. */
 	async waitUntilStopped(): Promise<number> {
-		return this._shutdown.waitUntilEnded();
+		const cutCount = await this._shutdown.waitUntilEnded();
+		await this._members.leave();
+		return cutCount;
 	}
 
 	dispose(): void {
@@ -261,26 +262,11 @@
 		return listener;
 	}
 
-	/** Tells the own failure domain of a change, if it learns from this instance. */
-	private _announceChange(): void {
-		if (this._members.isHub) {
-			void this._members.announce();
-		}
-	}
-
-	/** Tells the other failure domains what was read, if they learn from this instance. */
-	private _shareWithHubs(): void {
-		if (this._members.isHub && this._reader.isReading) {
-			void this._members.announceToHubs();
-		}
-	}
-
 	private _updateServing(): void {
 		const isServing = this._view.isComplete && !this._isStopping;
 		if (isServing !== this._isServing) {
 			this._isServing = isServing;
 			this._members.setServing(isServing);
-			void this._members.announce();
 		}
 	}
 
@@ -294,7 +280,8 @@
 		const {version} = this._view;
 		this._placement.recordGauges();
 		this._metrics.recordGauge('configuration.version', version.configuration);
-		this._metrics.recordGauge('targets.age_ms', version.listAgeMs);
+		this._metrics.recordGauge('configuration.age_ms', version.configurationAgeMs);
+		this._metrics.recordGauge('targets.age_ms', version.targetsAgeMs);
 		this._metrics.recordGauge('process.memory', process.memoryUsage.rss());
 		const rendered = await fromPromise(renderMetrics(this._metrics.series), error => error as Error);
 		if (rendered.isErr()) {
--- a/src/common/gateway/gateway-settings-schema.ts
+++ b/src/common/gateway/gateway-settings-schema.ts
@@ -16,6 +16,6 @@
 	isFirstStart: z.boolean({error: 'must be true or false'}),
 	registry: address,
 	limits: z.object({
-		stopMs: positive, retryRatio: notNegative, retrySlack: notNegative, retryWindowMs: positive, probesPerTargetPerSecond: notNegative,
+		cores: positive, stopMs: positive, targetChangeMs: positive, configurationChangeMs: positive, retryRatio: notNegative, retrySlack: notNegative, retryWindowMs: positive, probesPerTargetPerSecond: notNegative,
 	}, {error: 'must be an object'}),
 }, {error: 'must be an object'});
--- a/src/common/gateway/gateway-settings.ts
+++ b/src/common/gateway/gateway-settings.ts
@@ -23,6 +23,12 @@
 	/** Address of the site's registry, as host:port. */
 	readonly registry: string;
 	readonly limits: {
+		/** Processor time that this instance may use, in cores. */
+		readonly cores: number;
+		/** Time in which a change of the targets has to be in force, in ms. */
+		readonly targetChangeMs: number;
+		/** Time in which a change of the configuration has to be in force, in ms. */
+		readonly configurationChangeMs: number;
 		/** Time from the signal of a planned stop to the end of the process, in ms. */
 		readonly stopMs: number;
 		/** Repeated requests allowed as a share of first ones, for the whole fleet. */
--- a/src/common/gateway/gateway-target.ts
+++ b/src/common/gateway/gateway-target.ts
@@ -1,6 +1,8 @@
 /** A target as the site's registry lists it. */
 export type GatewayTarget = {
 	readonly id: string;
+	/** Revision of the registry at which the record was written. */
+	readonly revision: number;
 	readonly service: string;
 	readonly host: string;
 	readonly port: number;
--- a/src/common/gateway/sync-message.ts
+++ b/src/common/gateway/sync-message.ts
@@ -1,13 +1,19 @@
-import type {GatewayConfiguration} from './gateway-configuration.js';
 import type {GatewayMember} from './gateway-member.js';
-import type {GatewayTarget} from './gateway-target.js';
+import type {TargetChanges} from './target-changes.js';
 import type {ViewVersion} from './view-version.js';
 
-/** What two instances tell each other in one round; values only where the receiver is known to hold older ones. */
+/** What two instances tell each other: versions always, values only where the receiver is believed to lack them. */
 export type SyncMessage = {
 	readonly from: string;
+	/** Incarnation of the sender; what was known of an earlier one no longer holds. */
+	readonly incarnation: number;
+	/** Number of the sender's last change of a member's record. */
+	readonly changeNumber: number;
+	/** Number of the receiver's last change that the sender has taken; 0 when it has taken none. */
+	readonly takenNumber: number;
+	/** Hash over the records of all running instances. */
+	readonly digest: number;
 	readonly members: readonly GatewayMember[];
 	readonly view: ViewVersion;
-	readonly configuration?: GatewayConfiguration;
-	readonly targets?: readonly GatewayTarget[];
+	readonly targets?: TargetChanges;
 };
--- a/src/common/gateway/view-version.ts
+++ b/src/common/gateway/view-version.ts
@@ -2,10 +2,10 @@
 export type ViewVersion = {
 	/** Version of the configuration; 0 while there is none. */
 	readonly configuration: number;
-	/** Revision of the registry at which the list of targets took its present content; 0 while there is none. */
-	readonly listContent: number;
-	/** Revision of the registry at which the list was last seen unchanged. */
-	readonly listConfirmed: number;
-	/** Time since that was seen, in ms. */
-	readonly listAgeMs: number;
+	/** Time since the registry was seen to have no newer configuration, in ms. */
+	readonly configurationAgeMs: number;
+	/** Revision of the registry up to which the list of targets is complete; 0 while there is none. */
+	readonly targets: number;
+	/** Time since that was seen at the registry, in ms. */
+	readonly targetsAgeMs: number;
 };
--- a/src/controllers/gateway/member-controller.test.ts
+++ b/src/controllers/gateway/member-controller.test.ts
@@ -1,67 +1,38 @@
-import {err, ok} from 'neverthrow';
 import {
-	beforeEach, describe, expect, it,
+	afterEach, beforeEach, describe, expect, it, vi,
 } from 'vitest';
-import type {SyncMessage} from '../../common/gateway/sync-message.js';
+import type {GatewayConfiguration} from '../../common/gateway/gateway-configuration.js';
+import {MemberState} from '../../common/gateway/member-state.js';
 import {gatewayTarget} from '../../../test/support/gateway-target.js';
-import {silentLogger} from '../../../test/support/silent-logger.js';
-import {MemberController} from './member-controller.js';
-import {SiteView} from './site-view.js';
+import {ModelFleet} from '../../../test/support/model-fleet.js';
 
-type Instance = {readonly members: MemberController; readonly view: SiteView};
+const createConfiguration = (version: number): GatewayConfiguration => ({
+	version,
+	routes: [],
+	services: [],
+	limits: {
+		headerBytes: 1, bodyBytes: 1, headersTimeoutMs: 1, idleTimeoutMs: 1,
+	},
+});
 
 describe('MemberController', () => {
-	let fleet = new Map<string, Instance>();
-	let silent = new Set<string>();
-	const clock = {now: () => 1000};
-
-	const addInstance = (id: string, failureDomain: string) => {
-		const view = new SiteView({clock, logger: silentLogger});
-		const client = {
-			async exchange(address: string, message: SyncMessage) {
-				const peer = silent.has(address) || silent.has(id) ? undefined : fleet.get(address);
-				return peer === undefined ? err(new Error('no answer')) : ok(peer.members.handleMessage(message));
-			},
-		};
-		const members = new MemberController({
-			self: {
-				id, failureDomain, dataAddress: id, peerAddress: id, incarnation: 1,
-			}, seeds: ['a-1', 'b-1'], client, view, clock, logger: silentLogger,
-		});
-		fleet.set(id, {members, view});
-	};
-
-	const getInstance = (id: string): Instance => {
-		const instance = fleet.get(id);
-		if (instance === undefined) {
-			throw new Error(`no instance ${id}`);
-		}
-
-		return instance;
-	};
-
-	const runRounds = async (count: number) => {
-		for (let round = 0; round < count; round++) {
-			for (const [id, {members}] of fleet) {
-				if (!silent.has(id)) {
-					await members.runRound();
-				}
-			}
-		}
-	};
-
-	const listReaders = () => [...fleet].filter(([id, {members}]) => !silent.has(id) && members.isReader).map(([id]) => id);
+	let fleet = new ModelFleet({seeds: []});
 
 	beforeEach(async () => {
-		fleet = new Map();
-		silent = new Set();
+		vi.useFakeTimers();
+		fleet = new ModelFleet({seeds: ['a-1', 'b-1']});
 		for (const domain of ['a', 'b', 'c']) {
 			for (const number of [1, 2, 3]) {
-				addInstance(`${domain}-${number}`, domain);
+				fleet.addInstance(`${domain}-${number}`, domain);
 			}
 		}
 
-		await runRounds(30);
+		await fleet.run(3000);
+	});
+
+	afterEach(() => {
+		fleet.dispose();
+		vi.useRealTimers();
 	});
 
 	it.each([
@@ -70,9 +41,9 @@
 		[['a-1', 'a-2', 'a-3'], ['b-1']],
 		[['b-1'], ['a-1']],
 	])('with %j silent has the readers %j', async (lost, readers) => {
-		silent = new Set(lost);
-		await runRounds(30);
-		expect(listReaders()).toEqual(readers);
+		fleet.silent = new Set(lost);
+		await fleet.run(9000);
+		expect(fleet.listReaders()).toEqual(readers);
 	});
 
 	it.each([
@@ -81,24 +52,95 @@
 		[['a-1', 'b-1', 'c-1'], 'a-2'],
 	])('with %j turned away by the registry is read by %s', async (unable, reader) => {
 		for (const id of unable) {
-			getInstance(id).members.setCanRead(false);
+			fleet.get(id).members.setCanRead(false);
 		}
 
-		await runRounds(30);
-		expect(listReaders()).toEqual([reader]);
+		await fleet.run(9000);
+		expect(fleet.listReaders()).toEqual([reader]);
 		for (const id of unable) {
-			getInstance(id).members.setCanRead(true);
+			fleet.get(id).members.setCanRead(true);
+		}
+
+		await fleet.run(9000);
+		expect(fleet.listReaders()).toEqual(['a-1']);
+	});
+
+	it('lets the instance with most processor time read', async () => {
+		fleet.addInstance('c-4', 'c', 2);
+		await fleet.run(3000);
+		expect(fleet.listReaders()).toEqual(['c-4']);
+	});
+
+	it('tells all others within 0.2 s what the reader has read', async () => {
+		const reader = fleet.get('a-1');
+		reader.view.offerTargets({revision: 7, targets: [gatewayTarget]}, 0);
+		reader.view.offerConfiguration(createConfiguration(3), 0);
+		await fleet.run(200);
+		for (const {view} of fleet.running) {
+			expect(view.version).toMatchObject({configuration: 3, targets: 7});
+			expect(view.targets.map(({id}) => id)).toEqual([gatewayTarget.id]);
 		}
+	});
+
+	it('tells how old a view is though nothing in it has changed', async () => {
+		const reader = fleet.get('a-1');
+		for (let second = 0; second < 5; second++) {
+			reader.view.offerTargets({revision: 7, targets: [gatewayTarget]}, 0);
+			await fleet.run(1000);
+		}
+
+		for (const {view} of fleet.running) {
+			expect(view.targetsAgeMs).toBeLessThanOrEqual(1200);
+		}
+	});
 
-		await runRounds(30);
-		expect(listReaders()).toEqual(['a-1']);
+	it.each([
+		['an instance that is cut off', ['b-2']],
+		['a failure domain that is cut off', ['b-1', 'b-2', 'b-3']],
+		['a third of each domain', ['a-2', 'b-2', 'c-2']],
+	])('counts %s as lost but possible, and takes it back', async (_name, cut) => {
+		fleet.cut = new Set(cut);
+		await fleet.run(6000);
+		const outside = fleet.get('a-1').members;
+		expect(outside.listRunning().map(({id}) => id).filter(id => cut.includes(id))).toEqual([]);
+		expect(outside.localCount).toBe(3);
+		expect(fleet.get('b-2').members.localCount).toBe(3);
+		fleet.cut = new Set();
+		await fleet.run(10_000);
+		for (const {members} of fleet.running) {
+			expect(members.listRunning()).toHaveLength(9);
+		}
+	});
+
+	it('takes back an instance that was called lost while it runs', async () => {
+		const {members, view} = fleet.get('a-1');
+		const lost = members.listRunning().find(({id}) => id === 'c-2');
+		if (lost !== undefined) {
+			members.handleMessage({
+				from: 'b-3', incarnation: 0, changeNumber: 0, takenNumber: 0, digest: 0, view: view.version, members: [{...lost, state: MemberState.Lost}],
+			});
+		}
+
+		expect(members.listRunning()).toHaveLength(8);
+		await fleet.run(3000);
+		expect(members.listRunning()).toHaveLength(9);
+	});
+
+	it('knows an instance again that started with an older clock', async () => {
+		vi.setSystemTime(Date.now() - 60_000);
+		fleet.addInstance('b-2', 'b');
+		fleet.get('b-2').members.setServing(true);
+		await fleet.run(5000);
+		for (const {members} of fleet.running) {
+			expect(members.listServing('b').map(({id}) => id)).toEqual(['b-2']);
+		}
 	});
 
-	it('tells the hubs at once what the reader has read', async () => {
-		const reader = getInstance('a-1');
-		reader.view.offerTargets({revision: 7, targets: [gatewayTarget]});
-		await reader.members.announceToHubs();
-		expect(['b-1', 'c-1'].map(id => getInstance(id).view.version.listConfirmed)).toEqual([7, 7]);
-		expect(getInstance('c-1').view.targets).toEqual([gatewayTarget]);
+	it('no longer counts an instance that has left as planned', async () => {
+		void fleet.get('b-2').members.leave();
+		await fleet.run(1000);
+		fleet.silent = new Set(['b-2']);
+		await fleet.run(1000);
+		expect(fleet.get('b-1').members.localCount).toBe(2);
 	});
 });
--- a/src/controllers/gateway/member-controller.ts
+++ b/src/controllers/gateway/member-controller.ts
@@ -1,89 +1,109 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {Result} from 'neverthrow';
 import type {Clock} from '../../common/clock.js';
 import type {DisposableLike} from '../../common/disposable-like.js';
 import type {GatewayMember} from '../../common/gateway/gateway-member.js';
+import {MemberState} from '../../common/gateway/member-state.js';
+import type {NeighbourSet} from '../../common/gateway/neighbour-set.js';
+import type {PublishedConfiguration} from '../../common/gateway/published-configuration.js';
 import type {SyncMessage} from '../../common/gateway/sync-message.js';
 import type {Logger} from '../../common/logger.js';
 import type {SyncClient} from '../../io/gateway/sync-client.js';
+import {chooseNeighbours} from '../../policy/gateway/choose-neighbours.js';
+import {listReaders} from '../../policy/gateway/list-readers.js';
 import {MemberTable} from '../../policy/gateway/member-table.js';
+import {updateOwnRecord} from '../../policy/gateway/update-own-record.js';
+import {ConfigurationFetcher} from './configuration-fetcher.js';
+import {createPeerLink} from './create-peer-link.js';
+import type {PeerLink} from './peer-link.js';
 import type {SiteView} from './site-view.js';
 
 type MemberControllerOptions = {
-	readonly self: Omit<GatewayMember, 'counter' | 'isServing' | 'canRead'>;
+	readonly self: Pick<GatewayMember, 'id' | 'failureDomain' | 'dataAddress' | 'peerAddress' | 'cores' | 'incarnation'>;
 	readonly seeds: readonly string[];
-	readonly client: Pick<SyncClient, 'exchange'>;
+	readonly client: Pick<SyncClient, 'exchange' | 'fetchConfiguration' | 'timeoutMs'>;
 	readonly view: SiteView;
 	readonly clock: Clock;
+	readonly random: () => number;
 	readonly logger: Logger;
 };
 
 /** Time between two rounds, in ms. */
 const roundMs = 300;
-/** Rounds between two exchanges with another failure domain; bytes between domains are dear. */
-const remoteEvery = 20;
-/** The same while the own view is older than it should be, as when the whole domain cannot reach the registry. */
-const remoteEveryWhenStale = 3;
-/** Rounds after the start in which a seed is asked each time, unless the own domain's hub is known. */
-const seedRounds = 12;
-/** Rounds between two questions to a seed later on, which joins parts of the fleet that do not know each other. */
-const seedEvery = 60;
-/** Age of the view from which other domains are asked more often, in ms. */
-const staleMs = 1500;
-/** Silence after which an instance of the same failure domain counts as lost, in ms: three rounds. */
-const localLiveMs = 1000;
-/** Silence after which an instance of another failure domain counts as lost, in ms: two exchanges. */
-const remoteLiveMs = 12_000;
-/** Silence after which an instance is forgotten, in ms. */
-const forgetMs = 60_000;
-
-/** The one of the lowest id among those that can read the registry, or among all when none can. */
-const pickHub = (members: readonly GatewayMember[]): GatewayMember | undefined => {
-	let best: GatewayMember | undefined;
-	for (const member of members) {
-		const isBetter = best === undefined || (member.canRead === best.canRead ? member.id < best.id : member.canRead);
-		best = isBetter ? member : best;
-	}
-
-	return best;
-};
+/** Silence after which a neighbour is sent a message though there is no news, in ms. */
+const quietMs = 600;
+/** Time for which news are collected before neighbours are told, in ms, and its chance part, which lets one of two neighbours be first. */
+const collectMs = 5;
+const collectSpreadMs = 10;
+/** Difference in the age of what two neighbours know from which the older is told, in ms: half the time between two reads of the reader. */
+const newsStepMs = 500;
+/** Failed exchanges in a row after which an instance counts as lost; the second follows at once. */
+const maxFailures = 2;
+/** Lateness of a failed exchange beyond its own limit that shows that this process was held up rather than the peer, in ms. */
+const heldUpMs = 200;
+/** Rounds between two messages to an instance that counts as lost or to a seed, by which parts of the fleet find each other again. */
+const rejoinEvery = 6;
+/** Exchanges without news after which both sides that hold different records tell all of them. */
+const maxMismatches = 3;
+/** Instances that stand ready to read the registry when the reader is lost. */
+const deputyCount = 2;
+/** Time that an instance that ends gives its neighbours to answer, in ms. */
+const leaveMs = 100;
+/** Time for which an instance that was lost is remembered, in ms: domains may be parted for an hour and then still count. */
+const forgetMs = 2 * 3_600_000;
 
 /**
-Knows the instances of the fleet. In each failure domain all exchange messages with the one of the lowest id, the hub, and
-the hubs with each other; whoever does not answer is passed over, so that the next lowest takes its place. The lowest of the hubs
-reads the registry and tells the other hubs.
+Knows the instances of the fleet and spreads configuration and targets among them. Each watches the next on a few rings and passes on what
+is new to its neighbours, so that what one sends does not grow with the fleet. Failure detection and dissemination follow SWIM (Das, Gupta
+and Motivala, 2002) with the local health check of Lifeguard (Dadgar, Phillips and Currey, 2018).
 */
 export class MemberController implements DisposableLike {
 	private readonly _table = new MemberTable();
-	private readonly _peerViews = new Map<string, SyncMessage['view']>();
-	private _self: GatewayMember;
+	private readonly _links = new Map<string, PeerLink>();
+	private readonly _fetcher: ConfigurationFetcher;
 	private _seeds: readonly string[];
 	private _round = 0;
+	private _neighbours: NeighbourSet = {successors: [], all: []};
+	private _readers: readonly GatewayMember[] = [];
+	private _localCount = 1;
+	private _orderedAt = -1;
 	private _timer: NodeJS.Timeout | undefined;
+	private _newsTimer: NodeJS.Timeout | undefined;
+	private _isDisposed = false;
 
 	constructor(private readonly _options: MemberControllerOptions) {
-		this._self = {
-			..._options.self, counter: 0, isServing: false, canRead: true,
-		};
+		const {self, view} = _options;
+		this._table.offer({
+			...self, revision: 0, state: MemberState.Running, isServing: false, canRead: true,
+		}, self.id, _options.clock.now());
 		this._seeds = _options.seeds;
+		this._fetcher = new ConfigurationFetcher({..._options, listHolders: version => this._listHolders(version)});
+		view.onNews(() => {
+			this._waitToTell();
+		});
 	}
 
-	/** Whether this instance passes on to its failure domain what other domains tell. */
-	get isHub(): boolean {
-		return this._findHub(this._self.failureDomain)?.id === this._self.id;
+	/** Whether this instance reads the registry for the others. */
+	get isReader(): boolean {
+		this._order();
+		return this._readers[0]?.id === this._options.self.id;
 	}
 
-	/** Whether this instance reads the registry for the others: the hub of the lowest id among all domains. */
-	get isReader(): boolean {
-		return this.isHub && pickHub(this._listHubs())?.id === this._self.id;
+	/** Whether this instance is one of the next that read the registry when the reader is lost. */
+	get isDeputy(): boolean {
+		this._order();
+		return this._readers.slice(1, 1 + deputyCount).some(({id}) => id === this._options.self.id);
 	}
 
-	/** Instances of the own failure domain that count as running, this one included. */
+	/** Instances of the own failure domain that may be running, this one included. */
 	get localCount(): number {
-		return this._listLocal().length;
+		this._order();
+		return this._localCount;
 	}
 
 	/** False while this instance should know others and has heard of none. */
 	get isJoined(): boolean {
-		return this._table.members.length > 0 || this._seeds.every(seed => seed === this._self.peerAddress);
+		return this._table.members.length > 1 || this._otherSeeds.length === 0;
 	}
 
 	/** Starts the rounds. */
@@ -94,28 +114,21 @@
 		}, roundMs);
 	}
 
-	/** Exchanges messages with the peers whose turn it is; called by a timer after the start. */
+	/** Sends messages to neighbours that were not heard for some time, and to instances that may be back; called by a timer after the start. */
 	async runRound(): Promise<void> {
 		this._round++;
-		this._self = {...this._self, counter: this._self.counter + 1};
-		const hub = this._findHub(this._self.failureDomain);
-		const exchanges: Array<Promise<void>> = [];
-		if (hub !== undefined && hub.id !== this._self.id) {
-			exchanges.push(this._exchange(hub.peerAddress, hub));
-		}
-
-		const isHub = hub?.id === this._self.id;
-		const every = this._options.view.listAgeMs > staleMs ? remoteEveryWhenStale : remoteEvery;
-		if (isHub && this._round % every === 0) {
-			exchanges.push(...this._exchangeWithHubs());
-		}
-
-		if (isHub && (this._round <= seedRounds || this._round % seedEvery === 0)) {
-			exchanges.push(this._askSeed());
+		this._order();
+		const now = this._options.clock.now();
+		const exchanges = this._neighbours.successors
+			.filter(({id}) => now - (this._links.get(id)?.heardAt ?? Number.NEGATIVE_INFINITY) >= quietMs)
+			.map(async member => this._exchange(member));
+		if (this._neighbours.all.length === 0 || this._round % rejoinEvery === 0) {
+			exchanges.push(...this._listAbsent().map(async address => this._ask(address)));
 		}
 
+		this._fetcher.fetchNewer();
+		this._dropEnded(now);
 		await Promise.all(exchanges);
-		this._table.dropSilent(this._options.clock.now(), forgetMs);
 	}
 
 	/** Takes other addresses to find the fleet by. */
@@ -125,134 +138,267 @@
 
 	/** Says whether this instance takes callers. */
 	setServing(isServing: boolean): void {
-		this._self = {...this._self, counter: this._self.counter + 1, isServing};
+		this._updateSelf({isServing});
 	}
 
-	/** Says whether this instance's reads of the registry succeed; one that cannot read leaves that to others, and tells them at once. */
+	/** Says whether this instance's reads of the registry succeed; one that cannot read leaves that to others. */
 	setCanRead(canRead: boolean): void {
-		if (canRead !== this._self.canRead) {
-			this._self = {...this._self, counter: this._self.counter + 1, canRead};
-			void this.announce();
-			void this.announceToHubs();
+		if (this._table.get(this._options.self.id)?.canRead !== canRead) {
+			this._updateSelf({canRead});
 		}
 	}
 
-	/** Tells the other instances of the failure domain at once what has changed. */
-	async announce(): Promise<void> {
-		await Promise.all(this._listLocal().filter(member => member.id !== this._self.id).map(async member => this._exchange(member.peerAddress, member)));
-	}
-
-	/** Tells the hubs of the other failure domains what was read. */
-	async announceToHubs(): Promise<void> {
-		await Promise.all(this._exchangeWithHubs());
+	/** Tells the neighbours that this instance ends, and resolves when they have answered or do not. */
+	async leave(): Promise<void> {
+		this._updateSelf({state: MemberState.Left, isServing: false});
+		await Promise.race([Promise.all(this._neighbours.all.map(async member => this._exchange(member))), sleep(leaveMs)]);
 	}
 
 	/** Lists instances that take callers: those of the failure domain, or all when it has none. */
 	listServing(failureDomain: string): GatewayMember[] {
-		const serving = this.listLive().filter(member => member.isServing);
+		const serving = this.listRunning().filter(member => member.isServing);
 		const local = serving.filter(member => member.failureDomain === failureDomain);
 		return local.length > 0 ? local : serving;
 	}
 
 	/** Lists all instances that count as running, this one included. */
-	listLive(): GatewayMember[] {
-		const now = this._options.clock.now();
-		const others = this._table.listLive(now, remoteLiveMs).filter(member => member.failureDomain !== this._self.failureDomain);
-		return [...this._listLocal(), ...others];
+	listRunning(): GatewayMember[] {
+		return this._table.listRunning();
 	}
 
 	/** Takes a peer's message and returns this instance's own. */
 	handleMessage(message: SyncMessage): SyncMessage {
 		this._accept(message);
-		const sender = message.members.find(member => member.id === message.from);
-		return this._createMessage(message.from, sender?.failureDomain);
+		return this._createMessage(message.from);
+	}
+
+	/** The configuration in force, for a peer that lacks it. */
+	getConfiguration(): PublishedConfiguration | undefined {
+		const {configuration, configurationAgeMs} = this._options.view;
+		return configuration && {configuration, ageMs: Math.round(configurationAgeMs)};
 	}
 
 	dispose(): void {
+		this._isDisposed = true;
+		this._fetcher.dispose();
 		clearInterval(this._timer);
+		clearTimeout(this._newsTimer);
 	}
 
-	private _listLocal(): GatewayMember[] {
-		const local = this._table.listLive(this._options.clock.now(), localLiveMs)
-			.filter(member => member.failureDomain === this._self.failureDomain && member.id !== this._self.id);
-		return [this._self, ...local];
+	private get _otherSeeds(): string[] {
+		return this._seeds.filter(seed => seed !== this._options.self.peerAddress);
 	}
 
-	private _findHub(failureDomain: string): GatewayMember | undefined {
-		const members = failureDomain === this._self.failureDomain
-			? this._listLocal()
-			: this._table.listLive(this._options.clock.now(), remoteLiveMs).filter(member => member.failureDomain === failureDomain);
-		return pickHub(members);
+	/** Works out neighbours, readers and the size of the domain again when a record has changed. */
+	private _order(): void {
+		if (this._orderedAt !== this._table.changeNumber) {
+			this._orderedAt = this._table.changeNumber;
+			const running = this._table.listRunning();
+			this._neighbours = chooseNeighbours(running, this._options.self.id);
+			this._readers = listReaders(running);
+			this._localCount = this._table.countPossible(this._options.self.failureDomain);
+		}
 	}
 
-	/** This instance and one of each failure domain, by which another domain finds the rest. */
-	private _listHubs(): GatewayMember[] {
-		const domains = new Set(this._table.members.map(member => member.failureDomain));
-		const hubs = [...domains].flatMap(domain => this._findHub(domain) ?? []).filter(hub => hub.id !== this._self.id);
-		return [this._self, ...hubs];
+	private _updateSelf(changes: Partial<GatewayMember>): void {
+		const {self, clock} = this._options;
+		const held = this._table.get(self.id);
+		if (held !== undefined) {
+			this._order();
+			this._table.offer({...held, ...changes, revision: held.revision + 1}, self.id, clock.now());
+			this._waitToTell();
+		}
 	}
 
-	private _exchangeWithHubs(): Array<Promise<void>> {
-		const domains = new Set(this._table.members.map(member => member.failureDomain));
-		domains.delete(this._self.failureDomain);
-		return [...domains].flatMap(domain => {
-			const hub = this._findHub(domain);
-			return hub === undefined ? [] : [this._exchange(hub.peerAddress, hub)];
-		});
+	/** One address at random at which an instance may be that is not known to run: of a seed, or of one that was lost. */
+	private _listAbsent(): string[] {
+		const running = new Set(this._table.listRunning().map(member => member.peerAddress));
+		const absent = [...this._otherSeeds, ...this._table.listLost().map(member => member.peerAddress)].filter(address => !running.has(address));
+		const chosen = absent[Math.floor(this._options.random() * absent.length)];
+		return chosen === undefined ? [] : [chosen];
+	}
+
+	private _waitToTell(): void {
+		if (!this._isDisposed) {
+			this._newsTimer ??= setTimeout(() => {
+				this._newsTimer = undefined;
+				this._tellNeighbours();
+			}, collectMs + (collectSpreadMs * this._options.random()));
+		}
+	}
+
+	private _tellNeighbours(): void {
+		this._order();
+		for (const member of this._neighbours.all) {
+			if (this._isBehind(member.id)) {
+				void this._exchange(member);
+			}
+		}
+	}
+
+	private _isBehind(id: string): boolean {
+		const link = this._links.get(id);
+		if (link === undefined) {
+			return true;
+		}
+
+		const {view, clock} = this._options;
+		const {configuration, targets, targetsAgeMs} = view.version;
+		const peerAgeMs = link.view.targetsAgeMs + clock.now() - link.heardAt;
+		return (configuration > link.view.configuration && configuration > link.toldConfiguration)
+			|| targets > link.view.targets
+			|| peerAgeMs > targetsAgeMs + newsStepMs
+			|| this._table.listChanges(link.toldNumber, id).length > 0;
 	}
 
-	private async _askSeed(): Promise<void> {
-		const others = this._seeds.filter(seed => seed !== this._self.peerAddress);
-		const seed = others[this._round % others.length];
-		if (seed !== undefined) {
-			await this._exchange(seed, undefined);
+	/** Exchanges messages with a known instance; one that fails twice in a row counts as lost. */
+	private async _exchange(member: GatewayMember): Promise<void> {
+		const isExchanging = this._links.get(member.id)?.isExchanging ?? false;
+		if (isExchanging || this._isDisposed) {
+			return;
+		}
+
+		const link = this._findLink(member.id, member.incarnation);
+		link.isExchanging = true;
+		const startedAt = this._options.clock.now();
+		const message = this._createMessage(member.id);
+		const exchanged = await this._options.client.exchange(member.peerAddress, message);
+		link.isExchanging = false;
+		if (exchanged.isOk()) {
+			link.failures = 0;
+			link.toldNumber = Math.max(link.toldNumber, message.changeNumber);
+			link.toldConfiguration = Math.max(link.toldConfiguration, message.view.configuration);
+			this._accept(exchanged.value);
+			if (this._isBehind(member.id)) {
+				this._waitToTell();
+			}
+		} else if (!this._isDisposed) {
+			await this._noteFailure(member, link, {message: exchanged.error.message, tookMs: this._options.clock.now() - startedAt});
 		}
 	}
 
-	private async _exchange(peerAddress: string, peer: GatewayMember | undefined): Promise<void> {
-		const answered = await this._options.client.exchange(peerAddress, this._createMessage(peer?.id, peer?.failureDomain));
-		if (answered.isOk()) {
-			this._accept(answered.value);
-		} else if (peer !== undefined) {
-			this._table.markSuspect(peer.id);
-			this._options.logger.logInfo('peer-silent', {peer: peer.id, detail: answered.error.message});
+	private async _noteFailure(member: GatewayMember, link: PeerLink, failure: {readonly message: string; readonly tookMs: number}): Promise<void> {
+		const {client, clock, logger} = this._options;
+		if (failure.tookMs > client.timeoutMs + heldUpMs) {
+			logger.logInfo('exchange-held-up', {peer: member.id, tookMs: Math.round(failure.tookMs)});
+			return;
+		}
+
+		link.failures++;
+		if (link.failures < maxFailures) {
+			await this._exchange(member);
+			return;
+		}
+
+		link.failures = 0;
+		if (this._table.offer({...member, state: MemberState.Lost}, this._options.self.id, clock.now())) {
+			logger.logInfo('peer-lost', {peer: member.id, detail: failure.message});
+			this._waitToTell();
+		}
+	}
+
+	/** Sends a message to an address of which it is not known who is there. */
+	private async _ask(peerAddress: string): Promise<void> {
+		const exchanged: Result<SyncMessage, Error> = await this._options.client.exchange(peerAddress, this._createMessage(undefined));
+		if (exchanged.isOk() && !this._isDisposed) {
+			this._accept(exchanged.value);
 		}
 	}
 
 	private _accept(message: SyncMessage): void {
 		const {view, clock} = this._options;
 		const now = clock.now();
-		for (const member of message.members) {
-			if (member.id !== this._self.id) {
-				this._table.offer(member, now);
-			}
+		const link = this._findLink(message.from, message.incarnation);
+		const changed = message.members.filter(member => this._takeRecord(member, message.from, now));
+
+		link.heardAt = now;
+		link.view = message.view;
+		link.takenNumber = message.changeNumber;
+		if (message.takenNumber <= this._table.changeNumber) {
+			link.toldNumber = Math.max(link.toldNumber, message.takenNumber);
 		}
 
-		this._peerViews.set(message.from, message.view);
-		if (message.configuration !== undefined) {
-			view.offerConfiguration(message.configuration);
+		this._compareDigests(link, message);
+		view.offerPeerView(message.view, message.targets);
+		this._fetcher.fetchNewer();
+		if (changed.length > 0) {
+			this._waitToTell();
 		}
+	}
 
-		if (message.targets !== undefined) {
-			view.offerPeerTargets(message.view, message.targets);
-		} else if (message.view.listContent > 0 && message.view.listContent === view.version.listContent) {
-			view.confirmTargets(message.view.listConfirmed, message.view.listAgeMs);
+	private _takeRecord(member: GatewayMember, source: string, now: number): boolean {
+		const {self} = this._options;
+		if (member.id !== self.id) {
+			return this._table.offer(member, source, now);
 		}
+
+		const own = this._table.get(self.id);
+		const updated = own && updateOwnRecord(own, member);
+		return updated !== undefined && this._table.offer(updated, self.id, now);
+	}
+
+	/** Has all records told again when both sides have told their changes and still hold different ones. */
+	private _compareDigests(link: PeerLink, message: SyncMessage): void {
+		if (message.digest === this._table.digest) {
+			link.mismatches = 0;
+			link.toldNumber = this._table.changeNumber;
+			return;
+		}
+
+		link.mismatches = message.members.length === 0 ? link.mismatches + 1 : 0;
+		if (link.mismatches >= maxMismatches) {
+			link.mismatches = 0;
+			link.toldNumber = 0;
+		}
+	}
+
+	/** Lists the instances that hold a newer configuration, the one heard last first. */
+	private _listHolders(version: number): GatewayMember[] {
+		return [...this._links]
+			.filter(([, link]) => link.view.configuration > version)
+			.sort(([, a], [, b]) => b.heardAt - a.heardAt)
+			.flatMap(([id]) => this._table.get(id) ?? []);
+	}
+
+	private _dropEnded(now: number): void {
+		this._table.dropEnded(now, forgetMs);
+		const known = new Set(this._table.members.map(({id}) => id));
+		for (const id of this._links.keys()) {
+			if (!known.has(id)) {
+				this._links.delete(id);
+			}
+		}
+	}
+
+	private _findLink(id: string, incarnation: number): PeerLink {
+		const held = this._links.get(id);
+		if (held?.incarnation === incarnation) {
+			return held;
+		}
+
+		const created = createPeerLink(incarnation);
+		this._links.set(id, created);
+		return created;
 	}
 
-	private _createMessage(peerId: string | undefined, failureDomain: string | undefined): SyncMessage {
-		const {view} = this._options;
+	private _createMessage(peerId: string | undefined): SyncMessage {
+		const {view, self} = this._options;
 		const {version} = view;
-		const known = peerId === undefined ? undefined : this._peerViews.get(peerId);
-		const isLocal = failureDomain === this._self.failureDomain || failureDomain === undefined;
-		const sendsConfiguration = known !== undefined && version.configuration > known.configuration;
-		const sendsTargets = known !== undefined && version.listConfirmed > known.listConfirmed && version.listContent !== known.listContent;
+		const held = this._table.get(self.id);
+		const link = peerId === undefined ? undefined : this._links.get(peerId);
+		const isHeard = link !== undefined && link.heardAt > Number.NEGATIVE_INFINITY;
+		// A peer that was never heard may hold everything already; its answer says what it lacks.
+		const members = isHeard ? this._table.listChanges(link.toldNumber, peerId ?? '') : (held === undefined ? [] : [held]);
+		const sendsTargets = isHeard && version.targets > link.view.targets;
 		return {
-			from: this._self.id,
-			members: isLocal ? this.listLive() : this._listHubs(),
+			from: self.id,
+			incarnation: held?.incarnation ?? self.incarnation,
+			changeNumber: isHeard ? this._table.changeNumber : 0,
+			takenNumber: link?.takenNumber ?? 0,
+			digest: this._table.digest,
+			members,
 			view: version,
-			...(sendsConfiguration && {configuration: view.configuration}),
-			...(sendsTargets && {targets: view.targets}),
+			...(sendsTargets && {targets: view.collectTargetChanges(link.view.targets)}),
 		};
 	}
 }
--- a/src/controllers/gateway/placement-controller.test.ts
+++ b/src/controllers/gateway/placement-controller.test.ts
@@ -7,7 +7,7 @@
 
 const windowMs = 10_000;
 const limits = {
-	stopMs: 6000, retryRatio: 0.2, retrySlack: 196, retryWindowMs: windowMs, probesPerTargetPerSecond: 42,
+	cores: 1, targetChangeMs: 2000, configurationChangeMs: 2000, stopMs: 6000, retryRatio: 0.2, retrySlack: 196, retryWindowMs: windowMs, probesPerTargetPerSecond: 42,
 };
 
 describe('PlacementController', () => {
@@ -49,7 +49,7 @@
 				limits: {
 					headerBytes: 1, bodyBytes: 1, headersTimeoutMs: 1, idleTimeoutMs: 1,
 				},
-			});
+			}, 0);
 			while (placement.tryTakeRepeat('s')) {
 				taken++;
 			}
--- a/src/controllers/gateway/site-view.ts
+++ b/src/controllers/gateway/site-view.ts
@@ -3,30 +3,29 @@
 import {Emitter} from '../../common/emitter.js';
 import type {GatewayConfiguration} from '../../common/gateway/gateway-configuration.js';
 import type {GatewayTarget} from '../../common/gateway/gateway-target.js';
+import type {TargetChanges} from '../../common/gateway/target-changes.js';
 import type {TargetList} from '../../common/gateway/target-list.js';
 import type {ViewVersion} from '../../common/gateway/view-version.js';
 import type {Logger} from '../../common/logger.js';
+import {TargetTable} from '../../policy/gateway/target-table.js';
 
 type SiteViewOptions = {
 	readonly clock: Clock;
 	readonly logger: Logger;
 };
 
-/** Identifies the content of a target's record; the time left of its warm-up shrinks with every read. */
-const describeTarget = ({id, service, host, port, isLeaving, startedAt}: GatewayTarget): string => [id, service, host, port, isLeaving, startedAt].join(' ');
-
-const describeTargets = (targets: readonly GatewayTarget[]): string => targets.map(target => describeTarget(target)).sort().join('\n');
-
-/** The configuration and the targets in force on this instance; neither ever goes back to an older one. */
+/**
+The configuration and the targets in force on this instance, and how long ago each was seen to be the registry's newest; neither ever goes
+back to an older one.
+*/
 export class SiteView implements DisposableLike {
 	private readonly _onConfiguration = new Emitter<GatewayConfiguration>();
 	private readonly _onTargets = new Emitter<readonly GatewayTarget[]>();
+	private readonly _onNews = new Emitter<ViewVersion>();
+	private readonly _table = new TargetTable();
 	private _configuration: GatewayConfiguration | undefined;
-	private _targets: readonly GatewayTarget[] = [];
-	private _content = '';
-	private _listContent = 0;
-	private _listConfirmed = 0;
-	private _listConfirmedAt = Number.NEGATIVE_INFINITY;
+	private _configurationConfirmedAt = Number.NEGATIVE_INFINITY;
+	private _targetsConfirmedAt = Number.NEGATIVE_INFINITY;
 
 	constructor(private readonly _options: SiteViewOptions) {}
 
@@ -40,82 +39,120 @@
 		return this._onTargets.event;
 	}
 
+	/** Fires when peers may have to be told: with a newer configuration, a newer list and each time the list is seen to be up to date. */
+	get onNews() {
+		return this._onNews.event;
+	}
+
 	get configuration(): GatewayConfiguration | undefined {
 		return this._configuration;
 	}
 
 	get targets(): readonly GatewayTarget[] {
-		return this._targets;
+		return this._table.targets;
 	}
 
 	/** True once requests can be routed. */
 	get isComplete(): boolean {
-		return this._configuration !== undefined && this._listContent > 0;
+		return this._configuration !== undefined && this._table.completeTo > 0;
 	}
 
 	/** Time since the list of targets was seen at the registry, by this instance or a peer, in ms. */
-	get listAgeMs(): number {
-		return this._options.clock.now() - this._listConfirmedAt;
+	get targetsAgeMs(): number {
+		return this._options.clock.now() - this._targetsConfirmedAt;
+	}
+
+	/** Time since the configuration was seen to be the newest at the registry, by this instance or a peer, in ms. */
+	get configurationAgeMs(): number {
+		return this._options.clock.now() - this._configurationConfirmedAt;
 	}
 
 	get version(): ViewVersion {
 		return {
 			configuration: this._configuration?.version ?? 0,
-			listContent: this._listContent,
-			listConfirmed: this._listConfirmed,
-			listAgeMs: Math.min(Number.MAX_SAFE_INTEGER, Math.round(this.listAgeMs)),
+			configurationAgeMs: Math.min(Number.MAX_SAFE_INTEGER, Math.round(this.configurationAgeMs)),
+			targets: this._table.completeTo,
+			targetsAgeMs: Math.min(Number.MAX_SAFE_INTEGER, Math.round(this.targetsAgeMs)),
 		};
 	}
 
-	/** Puts a configuration in force if it is newer. */
-	offerConfiguration(configuration: GatewayConfiguration): void {
-		if (configuration.version > (this._configuration?.version ?? 0)) {
+	/**
+	Puts a configuration in force if it is newer.
+	@param ageMs - Time since it was seen to be the newest, in ms.
+	*/
+	offerConfiguration(configuration: GatewayConfiguration, ageMs: number): void {
+		const isNewer = configuration.version > (this._configuration?.version ?? 0);
+		if (isNewer) {
 			this._configuration = configuration;
+			this._configurationConfirmedAt = Number.NEGATIVE_INFINITY;
+		}
+
+		this.confirmConfiguration(configuration.version, ageMs);
+		if (isNewer) {
 			this._options.logger.logInfo('configuration-in-force', {version: configuration.version, routes: configuration.routes.length, services: configuration.services.length});
 			this._onConfiguration.fire(configuration);
+			this._onNews.fire(this.version);
 		}
 	}
 
-	/** Takes a list that was read at the registry. */
-	offerTargets({revision, targets}: TargetList): void {
-		if (revision < this._listConfirmed) {
-			return;
+	/** Notes that a version was seen to be the newest, if it is the one in force. */
+	confirmConfiguration(version: number, ageMs: number): void {
+		if (version === this._configuration?.version) {
+			this._configurationConfirmedAt = Math.max(this._configurationConfirmedAt, this._options.clock.now() - ageMs);
 		}
+	}
 
-		const content = describeTargets(targets);
-		if (content === this._content) {
-			this.confirmTargets(revision, 0);
-			return;
+	/**
+	Takes a list that was read at the registry.
+	@param ageMs - Time since the read began, in ms.
+	*/
+	offerTargets(list: TargetList, ageMs: number): void {
+		const before = this._targetsConfirmedAt;
+		const {completeTo} = this._table;
+		const hasChanged = this._table.takeList(list, this._options.clock.now());
+		if (list.revision >= completeTo) {
+			this._confirmTargets(ageMs);
 		}
 
-		this._setTargets(targets, content, revision);
-		this.confirmTargets(revision, 0);
+		this._announceTargets(before, hasChanged);
 	}
 
-	/** Takes a list that a peer read, if it is newer than the one held. */
-	offerPeerTargets(view: ViewVersion, targets: readonly GatewayTarget[]): void {
-		if (view.listConfirmed > this._listConfirmed) {
-			this._setTargets(targets, describeTargets(targets), view.listContent);
-			this.confirmTargets(view.listConfirmed, view.listAgeMs);
+	/** Takes what a peer tells of its view: changes of the list, and how old its values are. */
+	offerPeerView(view: ViewVersion, changes: TargetChanges | undefined): void {
+		const before = this._targetsConfirmedAt;
+		const hasChanged = changes !== undefined && this._table.takeChanges(changes, view.targets, this._options.clock.now()) === true;
+		if (view.targets > 0 && view.targets === this._table.completeTo) {
+			this._confirmTargets(view.targetsAgeMs);
 		}
+
+		this.confirmConfiguration(view.configuration, view.configurationAgeMs);
+		this._announceTargets(before, hasChanged);
 	}
 
-	/** Notes that the list held was seen unchanged at a revision of the registry. */
-	confirmTargets(revision: number, ageMs: number): void {
-		this._listConfirmed = Math.max(this._listConfirmed, revision);
-		this._listConfirmedAt = Math.max(this._listConfirmedAt, this._options.clock.now() - ageMs);
+	/** Collects what a peer lacks whose list is complete up to a revision. */
+	collectTargetChanges(revision: number): TargetChanges {
+		return this._table.collectChanges(revision, this._options.clock.now());
 	}
 
 	dispose(): void {
 		this._onConfiguration.dispose();
 		this._onTargets.dispose();
+		this._onNews.dispose();
+	}
+
+	private _confirmTargets(ageMs: number): void {
+		this._targetsConfirmedAt = Math.max(this._targetsConfirmedAt, this._options.clock.now() - ageMs);
 	}
 
-	private _setTargets(targets: readonly GatewayTarget[], content: string, revision: number): void {
-		this._content = content;
-		this._listContent = revision;
-		this._targets = targets;
-		this._options.logger.logInfo('targets-changed', {revision, targets: targets.length, leaving: targets.filter(target => target.isLeaving).length});
-		this._onTargets.fire(targets);
+	private _announceTargets(confirmedBefore: number, hasChanged: boolean): void {
+		if (hasChanged) {
+			const {targets} = this;
+			this._options.logger.logInfo('targets-changed', {revision: this._table.completeTo, targets: targets.length, leaving: targets.filter(target => target.isLeaving).length});
+			this._onTargets.fire(targets);
+		}
+
+		if (this._targetsConfirmedAt > confirmedBefore) {
+			this._onNews.fire(this.version);
+		}
 	}
 }
--- a/src/controllers/gateway/source-reader.test.ts
+++ b/src/controllers/gateway/source-reader.test.ts
@@ -43,18 +43,18 @@
 		const view = new SiteView({clock, logger: silentLogger});
 		view.offerConfiguration({
 			version: 1, routes: [], services: [], limits,
-		});
-		view.offerTargets({revision: 1, targets: [gatewayTarget]});
+		}, 0);
+		view.offerTargets({revision: 1, targets: [gatewayTarget]}, 0);
 		now = 5000;
 		reader = new SourceReader({
-			source, view, logger: silentLogger, metrics: disabledMetrics, clock, isReader: () => false, isHub: () => true, onTargetsRead: () => undefined, random: () => 0, waitsForPeers: false,
+			source, view, logger: silentLogger, metrics: disabledMetrics, clock, isReader: () => false, isDeputy: () => true, isJoined: () => true, onRead: () => undefined, random: () => 0, waitsForPeers: false, targetChangeMs: 2000, configurationChangeMs: 2000,
 		});
 		void reader.start();
 		await vi.waitFor(() => {
 			expect(notifyChange).toBeDefined();
 		});
 		now += elapsedMs;
-		view.confirmTargets(2, 0);
+		view.offerTargets({revision: 2, targets: [gatewayTarget]}, 0);
 		version = 2;
 		notifyChange?.();
 		await vi.waitFor(() => {
--- a/src/controllers/gateway/source-reader.ts
+++ b/src/controllers/gateway/source-reader.ts
@@ -15,45 +15,66 @@
 	readonly metrics: Metrics;
 	/** Whether this instance reads for the others. */
 	readonly isReader: () => boolean;
-	/** Whether the others of its failure domain learn from this instance. */
-	readonly isHub: () => boolean;
-	/** Called after each read of the list of targets; the view holds it already. */
-	readonly onTargetsRead: (isRead: boolean) => void;
+	/** Whether this instance is among the next to read when the reader is lost. */
+	readonly isDeputy: () => boolean;
+	/** False while this instance should know others and has heard of none. */
+	readonly isJoined: () => boolean;
+	/** Called after each read with whether this instance's reads succeed. */
+	readonly onRead: (canRead: boolean) => void;
 	readonly clock: Clock;
 	readonly random: () => number;
-	/** Whether the first reads wait until peers are known, so that only a few instances read at the first start of a site. */
+	/** Whether the first reads wait until peers are known, so that only one instance reads at the first start of a site. */
 	readonly waitsForPeers: boolean;
+	/** Time in which a change of the targets has to be in force, in ms. */
+	readonly targetChangeMs: number;
+	/** Time in which a change of the configuration has to be in force, in ms. */
+	readonly configurationChangeMs: number;
 };
 
-/** Time between two reads of the list of targets, in ms; with a reader's loss, noticed within 0.6 s, it stays below the 2 s in which a leaving target is left. */
+/** Time between two reads of the list of targets, in ms; with a reader's loss it stays below the 2 s in which a leaving target is left. */
 const readIntervalMs = 1000;
-/** Age of the view from which an instance reads for itself, in ms; reads are 1 s apart, and peers are asked every 0.3 s. */
-const staleAfterMs = 1500;
-/** The same for a hub, in ms: it is told of each read, and the others of its domain wait for it. */
-const hubStaleAfterMs = 1200;
-/** Time for which an instance that nobody told goes on to read, in ms: the age of the list does not show that of the configuration. */
+/** Age of the list from which a deputy reads for itself, as a share of the time in which a change has to be in force. */
+const deputyAgeShare = 0.6;
+/** The same for the others, and its chance part, which lets a few of them be first and tell the rest. */
+const otherAgeShare = 0.65;
+const otherAgeSpread = 0.15;
+/** The same for the configuration, which the reader sees confirmed once a second: beyond the time itself, since a change is told at once. */
+const configurationAgeShare = 1.25;
+/** Time for which an instance that nobody told goes on to read, in ms. */
 const standInMs = 4000;
 /** Time in which instances that start together get to know each other, in ms; callers come 10 s after the first start. */
 const peersKnownMs = 1500;
+/** Time that a started instance gives its peers to tell it all, in ms; one exchange takes 3 ms, and a seed may be lost. */
+const toldFirstMs = 400;
 /** Pause between two checks whether this instance has to read, in ms. */
-const idlePauseMs = 200;
+const idlePauseMs = 100;
 /** Pause while there is no configuration yet, in ms. */
 const unconfiguredPauseMs = 400;
+/** Pause after a change before the next one is waited for, in ms, so that a series of changes is read less often than it is made. */
+const changePauseMs = 100;
 /** Pause after a failed call, in ms, doubled by chance so that instances do not call together. */
 const failedPauseMs = 150;
-
-/** The same where a hub would tell of a success, in ms: calls in vain are priced. */
+/** The same where the reader and its deputies would tell of a success, in ms, doubled with each failure up to a limit: calls in vain are priced. */
 const idleFailedPauseMs = 1000;
+const maxDoublings = 2;
 
 /** Reads configuration and targets from the site's registry: always on a few instances, on the others while nobody tells them. */
 export class SourceReader implements DisposableLike {
 	private readonly _ending = new AbortController();
-	private _isReachable = true;
+	private readonly _startedAt: number;
+	private readonly _ageLimitMs: number;
+	private _failures = 0;
+	private _isConfigurationRead = true;
+	private _readVersion = 0;
 	private _standInUntil = Number.NEGATIVE_INFINITY;
 
-	constructor(private readonly _options: SourceReaderOptions) {}
+	constructor(private readonly _options: SourceReaderOptions) {
+		const {clock, random, targetChangeMs} = _options;
+		this._startedAt = clock.now();
+		this._ageLimitMs = targetChangeMs * (otherAgeShare + (otherAgeSpread * random()));
+	}
 
-	/** Starts reading; the first reads are this instance's own. */
+	/** Starts reading. */
 	async start(): Promise<void> {
 		if (this._options.waitsForPeers) {
 			await this._pause(peersKnownMs);
@@ -66,83 +87,98 @@
 		this._ending.abort();
 	}
 
-	/** Whether this instance reads now: for the others, or since nobody tells it. */
-	get isReading(): boolean {
-		const {view, clock, isReader, isHub, waitsForPeers} = this._options;
-		const isLeftAlone = !waitsForPeers && !view.isComplete;
+	/** Decides whether this instance reads now: for the others, or since nobody tells it; the latter holds for some time. */
+	checkReading(): boolean {
+		const {view, clock, isReader, isDeputy, isJoined, waitsForPeers, targetChangeMs, configurationChangeMs} = this._options;
 		const now = clock.now();
-		if (view.isComplete && view.listAgeMs > (isHub() ? hubStaleAfterMs : staleAfterMs)) {
+		const isWaiting = !waitsForPeers && now - this._startedAt < toldFirstMs;
+		if (!view.isComplete) {
+			return isReader() ? isJoined() || !isWaiting : !waitsForPeers && !isWaiting;
+		}
+
+		const ageLimitMs = isDeputy() ? targetChangeMs * deputyAgeShare : this._ageLimitMs;
+		if (view.targetsAgeMs > ageLimitMs || view.configurationAgeMs > configurationChangeMs * configurationAgeShare) {
 			this._standInUntil = now + standInMs;
 		}
 
-		return isReader() || isLeftAlone || now < this._standInUntil;
+		return isReader() || now < this._standInUntil;
 	}
 
 	private async _runTargets(): Promise<void> {
-		const {source, view} = this._options;
+		const {source, view, clock} = this._options;
 		while (!this._ending.signal.aborted) {
-			if (this.isReading) {
-				const read = await source.readTargets();
-				this._countRead('targets', read);
-				if (read.isOk()) {
-					this._noteReachable();
-					view.offerTargets(read.value);
-				} else {
-					this._noteFailure('targets', read.error);
-				}
-
-				this._options.onTargetsRead(read.isOk());
-				await this._pause(read.isOk() ? readIntervalMs : this._failedPauseMs);
-			} else {
+			if (!this.checkReading()) {
 				await this._pause(idlePauseMs);
+				continue;
 			}
+
+			const startedAt = clock.now();
+			const read = await source.readTargets();
+			this._countRead('targets', read);
+			if (read.isOk()) {
+				this._noteReachable();
+				view.offerTargets(read.value, clock.now() - startedAt);
+			} else {
+				this._noteFailure('targets', read.error);
+			}
+
+			this._options.onRead(read.isOk() && this._isConfigurationRead);
+			await this._pause(read.isOk() ? readIntervalMs : this._failedPauseMs);
 		}
 	}
 
 	private async _runConfiguration(): Promise<void> {
 		while (!this._ending.signal.aborted) {
-			if (!this.isReading) {
+			// While the list cannot be read, reads of the configuration would fail as well.
+			if (this._failures > 0 || !this.checkReading()) {
 				await this._pause(idlePauseMs);
 				continue;
 			}
 
 			const isRead = await this._readConfiguration();
-			await (isRead ? this._watchConfiguration() : this._pause(Math.max(unconfiguredPauseMs, this._failedPauseMs)));
+			await (isRead ? this._watchConfiguration() : this._pause(unconfiguredPauseMs));
 		}
 	}
 
 	/** Reads the configuration after each change, until this instance no longer has to; a change that was seen is always read. */
 	private async _watchConfiguration(): Promise<void> {
-		const {source} = this._options;
+		const {source, view} = this._options;
 		let isRead = true;
-		while (isRead && this.isReading && !this._ending.signal.aborted) {
+		while (isRead && this.checkReading() && !this._ending.signal.aborted) {
 			const waited = await source.waitForChange();
 			this._countRead('changes', waited);
 			if (waited.isErr()) {
-				this._noteFailure('configuration-changes', waited.error);
-				await this._pause(this._failedPauseMs);
+				this._options.logger.logInfo('configuration-watch-lost', {...waited.error});
+				await this._pause(failedPauseMs * (1 + this._options.random()));
 			}
 
 			if (waited.isErr() || waited.value) {
 				isRead = await this._readConfiguration();
+				await this._pause(changePauseMs);
+			} else {
+				view.confirmConfiguration(this._readVersion, 0);
 			}
 		}
 	}
 
 	private async _readConfiguration(): Promise<boolean> {
-		const read = await this._options.source.readConfiguration();
+		const {source, view, clock} = this._options;
+		const startedAt = clock.now();
+		const read = await source.readConfiguration();
 		this._countRead('configuration', read);
+		this._isConfigurationRead = read.isOk();
 		if (read.isErr()) {
-			this._noteFailure('configuration', read.error);
+			this._options.logger.logError('configuration-read-failed', {...read.error});
+			this._options.onRead(false);
 			return false;
 		}
 
-		this._noteReachable();
 		if (read.value === undefined) {
 			return false;
 		}
 
-		this._options.view.offerConfiguration(read.value);
+		this._readVersion = read.value.version;
+		view.offerConfiguration(read.value, clock.now() - startedAt);
 		return true;
 	}
 
@@ -151,19 +187,21 @@
 	}
 
 	private get _failedPauseMs(): number {
-		return (this._options.isHub() ? failedPauseMs : idleFailedPauseMs) * (1 + this._options.random());
+		const {isReader, isDeputy, random} = this._options;
+		const pauseMs = isReader() || isDeputy() ? failedPauseMs : idleFailedPauseMs * (2 ** Math.min(maxDoublings, this._failures - 1));
+		return pauseMs * (1 + random());
 	}
 
 	private _noteReachable(): void {
-		if (!this._isReachable) {
-			this._isReachable = true;
-			this._options.logger.logInfo('registry-regained', {listAgeMs: Math.round(this._options.view.listAgeMs)});
+		if (this._failures > 0) {
+			this._failures = 0;
+			this._options.logger.logInfo('registry-regained', {targetsAgeMs: Math.round(this._options.view.targetsAgeMs)});
 		}
 	}
 
 	private _noteFailure(subject: string, error: SourceError): void {
-		if (this._isReachable) {
-			this._isReachable = false;
+		this._failures++;
+		if (this._failures === 1) {
 			this._options.logger.logError('registry-lost', {subject, ...error});
 		}
 	}
--- a/src/controllers/gateway/state-reporter.ts
+++ b/src/controllers/gateway/state-reporter.ts
@@ -60,7 +60,7 @@
 		metrics.recordGauge('peer.bytes_per_second', peerBytesPerSecond);
 		metrics.recordGauge('process.loop_delay', loopDelayMs);
 		logger.logInfo('gateway-state', {
-			configuration: view.version.configuration, targetsAgeMs: view.version.listAgeMs, instances: countInstances(), peerBytesPerSecond, loopDelayMs,
+			...view.version, instances: countInstances(), peerBytesPerSecond, loopDelayMs,
 		});
 		this._reportedBytes = bytes;
 		this._worstDelayMs = 0;
--- a/src/filters/gateway/log-filter.ts
+++ b/src/filters/gateway/log-filter.ts
@@ -52,7 +52,7 @@
 			timeLeftMs: Math.round(context.deadlineAt - clock.now()),
 			attempts: context.attempts,
 			configurationVersion: view.version.configuration,
-			targetsAgeMs: view.version.listAgeMs,
+			targetsAgeMs: view.version.targetsAgeMs,
 		};
 	}
 }
--- a/src/io/gateway/create-sync-router.ts
+++ b/src/io/gateway/create-sync-router.ts
@@ -1,9 +1,19 @@
 import {initTRPC} from '@trpc/server';
+import type {PublishedConfiguration} from '../../common/gateway/published-configuration.js';
 import type {SyncMessage} from '../../common/gateway/sync-message.js';
 import {decodeMember} from './decode-member.js';
 import {encodeMember} from './encode-member.js';
+import {packConfiguration} from './pack-configuration.js';
+import type {PackedConfiguration} from './packed-configuration.js';
 import type {SyncEnvelope} from './sync-envelope.js';
 
+type SyncHandler = {
+	/** Takes a peer's message and returns this instance's own. */
+	handleMessage(message: SyncMessage): SyncMessage;
+	/** The configuration in force, if there is one. */
+	getConfiguration(): PublishedConfiguration | undefined;
+};
+
 const builder = initTRPC.create();
 
 const checkEnvelope = (value: unknown): SyncEnvelope => {
@@ -15,13 +25,24 @@
 	return envelope as SyncEnvelope;
 };
 
-/**
-Builds the procedures that gateway instances offer each other.
-@param handleMessage - Takes a peer's message and returns this instance's own.
-*/
-export const createSyncRouter = (handleMessage: (message: SyncMessage) => SyncMessage) => builder.router({
+const checkVersion = (value: unknown): number => {
+	if (typeof value !== 'number') {
+		throw new TypeError('a version is a number');
+	}
+
+	return value;
+};
+
+/** Builds the procedures that gateway instances offer each other. */
+export const createSyncRouter = (handler: SyncHandler) => builder.router({
 	sync: builder.procedure.input(checkEnvelope).mutation(({input}): SyncEnvelope => {
-		const answer = handleMessage({...input, members: input.members.map(member => decodeMember(member))});
+		const answer = handler.handleMessage({...input, members: input.members.map(member => decodeMember(member))});
 		return {...answer, members: answer.members.map(member => encodeMember(member))};
 	}),
+	configuration: builder.procedure.input(checkVersion).mutation(({input}): PackedConfiguration | undefined => {
+		const published = handler.getConfiguration();
+		return published === undefined || published.configuration.version <= input
+			? undefined
+			: {packed: packConfiguration(published.configuration), ageMs: published.ageMs};
+	}),
 });
--- a/src/io/gateway/decode-member.ts
+++ b/src/io/gateway/decode-member.ts
@@ -2,6 +2,6 @@
 import type {EncodedMember} from './encoded-member.js';
 
 /** Reads a member's record from the wire. */
-export const decodeMember = ([id, failureDomain, dataAddress, peerAddress, incarnation, counter, isServing, canRead]: EncodedMember): GatewayMember => ({
-	id, failureDomain, dataAddress, peerAddress, incarnation, counter, isServing, canRead,
+export const decodeMember = ([id, failureDomain, dataAddress, peerAddress, cores, incarnation, revision, state, isServing, canRead]: EncodedMember): GatewayMember => ({
+	id, failureDomain, dataAddress, peerAddress, cores, incarnation, revision, state, isServing, canRead,
 });
--- a/src/io/gateway/encode-member.ts
+++ b/src/io/gateway/encode-member.ts
@@ -3,5 +3,5 @@
 
 /** Writes a member's record for the wire. */
 export const encodeMember = (member: GatewayMember): EncodedMember => [
-	member.id, member.failureDomain, member.dataAddress, member.peerAddress, member.incarnation, member.counter, member.isServing, member.canRead,
+	member.id, member.failureDomain, member.dataAddress, member.peerAddress, member.cores, member.incarnation, member.revision, member.state, member.isServing, member.canRead,
 ];
--- a/src/io/gateway/encoded-member.ts
+++ b/src/io/gateway/encoded-member.ts
@@ -1,11 +1,15 @@
-/** A member's record as its values in turn; names of fields would double its bytes, and each instance sends it several times a second. */
+import type {MemberState} from '../../common/gateway/member-state.js';
+
+/** A member's record as its values in turn; names of fields would double its bytes. */
 export type EncodedMember = readonly [
 	id: string,
 	failureDomain: string,
 	dataAddress: string,
 	peerAddress: string,
+	cores: number,
 	incarnation: number,
-	counter: number,
+	revision: number,
+	state: MemberState,
 	isServing: boolean,
 	canRead: boolean,
 ];
--- a/src/io/gateway/sync-client.ts
+++ b/src/io/gateway/sync-client.ts
@@ -1,6 +1,7 @@
 import {createTRPCClient, httpLink, type TRPCClient} from '@trpc/client';
-import {fromPromise, type Result} from 'neverthrow';
+import {fromPromise, ok, type Result} from 'neverthrow';
 import type {DisposableLike} from '../../common/disposable-like.js';
+import type {PublishedConfiguration} from '../../common/gateway/published-configuration.js';
 import type {SyncMessage} from '../../common/gateway/sync-message.js';
 import type {Metrics} from '../../common/metrics.js';
 import type {ByteMeter} from './byte-meter.js';
@@ -9,16 +10,19 @@
 import {MeteredAgent} from './metered-agent.js';
 import {sendJson} from './send-json.js';
 import type {SyncRouter} from './sync-router.js';
+import {unpackConfiguration} from './unpack-configuration.js';
 
-/** Time after which a peer counts as not answering, in ms; a round trip within a site takes 3 ms. */
-const syncTimeoutMs = 300;
+/** Time for a call to a peer, in ms; a round trip takes 3 ms, and a small instance under load answers within some tens. */
+const callTimeoutMs = 400;
 
-/** Exchanges messages with other instances over connections that are kept open. */
+/** Calls other instances over connections that are kept open. */
 export class SyncClient implements DisposableLike {
+	/** Time after which a call counts as failed, in ms. */
+	readonly timeoutMs = callTimeoutMs;
 	private readonly _agent: MeteredAgent;
 	private readonly _clients = new Map<string, TRPCClient<SyncRouter>>();
 
-	/** @param meter - Counts what the exchanges carry. */
+	/** @param meter - Counts what the calls carry. */
 	constructor(meter: ByteMeter, private readonly _metrics: Metrics) {
 		this._agent = new MeteredAgent({maxSockets: 2, noDelay: true}, meter);
 	}
@@ -28,7 +32,15 @@
 		const envelope = {...message, members: message.members.map(member => encodeMember(member))};
 		const exchanged = await fromPromise(this._getClient(peerAddress).sync.mutate(envelope), error => error as Error);
 		this._metrics.countEvent('peer.exchanges', {result: exchanged.isOk() ? 'answered' : 'failed'});
-		return exchanged.map(answer => ({...(answer), members: (answer).members.map(member => decodeMember(member))}));
+		return exchanged.map(answer => ({...answer, members: answer.members.map(member => decodeMember(member))}));
+	}
+
+	/** Fetches the configuration that a peer has in force; undefined when it is not newer than a version. */
+	async fetchConfiguration(peerAddress: string, version: number): Promise<Result<PublishedConfiguration | undefined, Error>> {
+		const fetched = await fromPromise(this._getClient(peerAddress).configuration.mutate(version), error => error as Error);
+		return fetched.andThen(answer => answer === undefined
+			? ok(undefined)
+			: unpackConfiguration(answer.packed).map(configuration => ({configuration, ageMs: answer.ageMs})));
 	}
 
 	dispose(): void {
@@ -43,7 +55,7 @@
 					url: `http://${peerAddress}`,
 					// The global fetch would load a second HTTP client into every process.
 					fetch: async (url, options) => sendJson(String(url), {
-						method: options?.method ?? 'POST', body: options?.body as string, agent: this._agent, timeoutMs: syncTimeoutMs,
+						method: options?.method ?? 'POST', body: options?.body as string, agent: this._agent, timeoutMs: this.timeoutMs,
 					}),
 				})],
 			});
--- a/src/policy/gateway/assign-entries.test.ts
+++ b/src/policy/gateway/assign-entries.test.ts
@@ -1,10 +1,11 @@
 import fc from 'fast-check';
 import {describe, expect, it} from 'vitest';
 import type {GatewayMember} from '../../common/gateway/gateway-member.js';
+import {MemberState} from '../../common/gateway/member-state.js';
 import {assignEntries} from './assign-entries.js';
 
 const createMembers = (count: number): GatewayMember[] => Array.from({length: count}, (_item, index) => ({
-	id: `e-${index}`, failureDomain: 'd', dataAddress: `h${index}:1`, peerAddress: `h${index}:2`, incarnation: 1, counter: 1, isServing: true, canRead: true,
+	id: `e-${index}`, failureDomain: 'd', dataAddress: `h${index}:1`, peerAddress: `h${index}:2`, cores: 1, incarnation: 1, revision: 1, state: MemberState.Running, isServing: true, canRead: true,
 }));
 
 const services = [{name: 'a', slots: 80}, {name: 'b', slots: 40}, {name: 'c', slots: 50}, {name: 'd', slots: 48}];
--- /dev/null
+++ b/src/policy/gateway/choose-neighbours.test.ts
@@ -0,0 +1,60 @@
+import {describe, expect, it} from 'vitest';
+import type {GatewayMember} from '../../common/gateway/gateway-member.js';
+import {MemberState} from '../../common/gateway/member-state.js';
+import {chooseNeighbours} from './choose-neighbours.js';
+import {computeTextHash} from './compute-text-hash.js';
+
+const createFleet = (size: number, domains: number): GatewayMember[] => Array.from({length: size}, (_item, index) => ({
+	id: `i-${index}`, failureDomain: `z-${index % domains}`, dataAddress: '', peerAddress: '', cores: 1, incarnation: 1, revision: 0, state: MemberState.Running, isServing: true, canRead: true,
+}));
+
+/** Instances that news from one reaches, and in how many steps. */
+const spreadFrom = (fleet: readonly GatewayMember[], running: ReadonlySet<string>, first: string): Map<string, number> => {
+	const steps = new Map([[first, 0]]);
+	const queue = [first];
+	for (let id = queue.shift(); id !== undefined; id = queue.shift()) {
+		for (const neighbour of chooseNeighbours(fleet, id).all) {
+			if (running.has(neighbour.id) && !steps.has(neighbour.id)) {
+				steps.set(neighbour.id, (steps.get(id) ?? 0) + 1);
+				queue.push(neighbour.id);
+			}
+		}
+	}
+
+	return steps;
+};
+
+describe('chooseNeighbours', () => {
+	it.each([
+		{
+			size: 1, domains: 1, most: 0, steps: 0,
+		},
+		{
+			size: 2, domains: 1, most: 1, steps: 1,
+		},
+		{
+			size: 18, domains: 4, most: 6, steps: 6,
+		},
+		{
+			size: 125, domains: 4, most: 6, steps: 10,
+		},
+		{
+			size: 300, domains: 14, most: 6, steps: 14,
+		},
+	])('links $size instances of $domains domains to at most $most each, $steps steps from end to end', ({size, domains, most, steps}) => {
+		const fleet = createFleet(size, domains);
+		const all = new Set(fleet.map(({id}) => id));
+		const reached = spreadFrom(fleet, all, 'i-0');
+		expect(reached.size).toBe(size);
+		expect(Math.max(...reached.values())).toBeLessThanOrEqual(steps);
+		for (const {id} of fleet) {
+			expect(chooseNeighbours(fleet, id).all.length).toBeLessThanOrEqual(most);
+		}
+	});
+
+	it('reaches nearly all others before the fleet has noticed that a third is lost', () => {
+		const fleet = createFleet(125, 4);
+		const running = new Set(fleet.map(({id}) => id).filter(id => id === 'i-0' || computeTextHash(`lost ${id}`) % 3 > 0));
+		expect(spreadFrom(fleet, running, 'i-0').size).toBeGreaterThanOrEqual(running.size * 0.95);
+	});
+});
--- a/src/policy/gateway/member-table.test.ts
+++ b/src/policy/gateway/member-table.test.ts
@@ -1,43 +1,75 @@
 import {describe, expect, it} from 'vitest';
 import type {GatewayMember} from '../../common/gateway/gateway-member.js';
+import {MemberState} from '../../common/gateway/member-state.js';
 import {MemberTable} from './member-table.js';
 
-const createMember = (incarnation: number, counter: number, isServing = true): GatewayMember => ({
-	id: 'e', failureDomain: 'd', dataAddress: 'h:1', peerAddress: 'h:2', incarnation, counter, isServing, canRead: true,
+const createMember = (incarnation: number, revision: number, state = MemberState.Running, id = 'e'): GatewayMember => ({
+	id, failureDomain: 'd', dataAddress: 'h:1', peerAddress: 'h:2', cores: 1, incarnation, revision, state, isServing: true, canRead: true,
 });
 
 describe('MemberTable', () => {
 	it.each([
-		['a higher counter', createMember(1, 2), createMember(1, 3), 3],
-		['a lower counter', createMember(1, 3), createMember(1, 2), 3],
+		['a higher revision', createMember(1, 2), createMember(1, 3), 3],
+		['a lower revision', createMember(1, 3), createMember(1, 2), 3],
 		['a replaced instance', createMember(1, 9), createMember(2, 0), 0],
 		['an old record of a replaced instance', createMember(2, 0), createMember(1, 9), 0],
-	])('with %s keeps the newer record', (_name, first, second, counter) => {
+	])('with %s keeps the newer record', (_name, first, second, revision) => {
 		const table = new MemberTable();
-		table.offer(first, 0);
-		table.offer(second, 10);
-		expect(table.members.map(member => member.counter)).toEqual([counter]);
+		table.offer(first, 's', 0);
+		table.offer(second, 's', 10);
+		expect(table.members.map(member => member.revision)).toEqual([revision]);
 	});
 
 	it.each([
-		['heard of lately', 900, false, 1],
-		['silent', 1100, false, 0],
-		['suspect', 0, true, 0],
-	])('counts an instance that is %s', (_name, now, isSuspect, live) => {
+		['running', [createMember(1, 1)], 1, 1],
+		['called lost', [createMember(1, 1), createMember(1, 1, MemberState.Lost)], 0, 1],
+		['called lost by an older record', [createMember(1, 2), createMember(1, 1, MemberState.Lost)], 1, 1],
+		['back after it was called lost', [createMember(1, 1, MemberState.Lost), createMember(1, 2)], 1, 1],
+		['ended as planned', [createMember(1, 1), createMember(1, 2, MemberState.Left)], 0, 0],
+		['unknown and ended', [createMember(1, 2, MemberState.Left)], 0, 0],
+	])('counts an instance that is %s', (_name, records, running, possible) => {
 		const table = new MemberTable();
-		table.offer(createMember(1, 1), 0);
-		if (isSuspect) {
-			table.markSuspect('e');
+		for (const record of records) {
+			table.offer(record, 's', 0);
 		}
 
-		expect(table.listLive(now, 1000)).toHaveLength(live);
+		expect(table.listRunning()).toHaveLength(running);
+		expect(table.countPossible('d')).toBe(possible);
 	});
 
-	it('counts a suspect again once it is heard of', () => {
+	it('lists what changed after a change, without what the receiver said', () => {
 		const table = new MemberTable();
-		table.offer(createMember(1, 1), 0);
-		table.markSuspect('e');
-		table.offer(createMember(1, 2), 5);
-		expect(table.listLive(5, 1000)).toHaveLength(1);
+		table.offer(createMember(1, 1, MemberState.Running, 'a'), 'a', 0);
+		const {changeNumber} = table;
+		table.offer(createMember(1, 1, MemberState.Running, 'b'), 'b', 0);
+		table.offer(createMember(1, 1, MemberState.Running, 'c'), 's', 0);
+		expect(table.listChanges(changeNumber, 'b').map(({id}) => id)).toEqual(['c']);
+		expect(table.listChanges(0, 's').map(({id}) => id)).toEqual(['a', 'b']);
+	});
+
+	it('has the same digest for the same running instances, in whichever order they came', () => {
+		const records = [createMember(1, 1, MemberState.Running, 'a'), createMember(3, 1, MemberState.Running, 'b')];
+		const first = new MemberTable();
+		const second = new MemberTable();
+		for (const record of records) {
+			first.offer(record, 's', 0);
+		}
+
+		second.offer(createMember(2, 9, MemberState.Running, 'b'), 's', 0);
+		for (const record of [...records].reverse()) {
+			second.offer(record, 's', 0);
+		}
+
+		expect(second.digest).toBe(first.digest);
+		second.offer(createMember(3, 1, MemberState.Lost, 'b'), 's', 0);
+		expect(second.digest).not.toBe(first.digest);
+	});
+
+	it('forgets an instance that was lost long ago, not one that runs', () => {
+		const table = new MemberTable();
+		table.offer(createMember(1, 1, MemberState.Lost, 'a'), 's', 0);
+		table.offer(createMember(1, 1, MemberState.Running, 'b'), 's', 0);
+		table.dropEnded(1001, 1000);
+		expect(table.members.map(({id}) => id)).toEqual(['b']);
 	});
 });
--- a/src/policy/gateway/member-table.ts
+++ b/src/policy/gateway/member-table.ts
@@ -1,50 +1,113 @@
 import type {GatewayMember} from '../../common/gateway/gateway-member.js';
+import {MemberState} from '../../common/gateway/member-state.js';
+import {computeTextHash} from './compute-text-hash.js';
 
-type Entry = {readonly member: GatewayMember; heardAt: number; isSuspect: boolean};
+type Entry = {
+	readonly member: GatewayMember;
+	/** Number of the change by which the record came to be held. */
+	readonly changeNumber: number;
+	readonly changedAt: number;
+	/** Instance that told the record. */
+	readonly source: string;
+};
 
-/** The instances of the fleet as they were last heard of, each by its newest record. */
+const hashMember = ({id, incarnation, revision}: GatewayMember): number => computeTextHash(`${id} ${incarnation} ${revision}`);
+
+const isNewer = (member: GatewayMember, held: GatewayMember): boolean => {
+	if (member.incarnation !== held.incarnation) {
+		return member.incarnation > held.incarnation;
+	}
+
+	return member.revision === held.revision ? member.state > held.state : member.revision > held.revision;
+};
+
+/** The instances of the fleet, each by its newest record, with the order in which the records came to be held. */
 export class MemberTable {
 	private readonly _entries = new Map<string, Entry>();
+	private _changeNumber = 0;
+	private _digest = 0;
+
+	/** Number of the last change. */
+	get changeNumber(): number {
+		return this._changeNumber;
+	}
 
-	/** All records, live or not. */
+	/** Hash over the records of all running instances; equal in two tables that hold the same. */
+	get digest(): number {
+		return this._digest;
+	}
+
+	/** All records, running or not. */
 	get members(): GatewayMember[] {
-		return [...this._entries.values()].map(entry => entry.member);
+		return [...this._entries.values()].map(({member}) => member);
+	}
+
+	/** Gets the record of an instance. */
+	get(id: string): GatewayMember | undefined {
+		return this._entries.get(id)?.member;
 	}
 
-	/** Takes a record if it is newer than the one that is held. */
-	offer(member: GatewayMember, now: number): void {
+	/**
+	Takes a record if it is newer than the one that is held, and says whether it is.
+	@param source - Instance that told it.
+	*/
+	offer(member: GatewayMember, source: string, now: number): boolean {
 		const held = this._entries.get(member.id)?.member;
-		const isNewer = held === undefined || member.incarnation > held.incarnation
-			|| (member.incarnation === held.incarnation && member.counter > held.counter);
-		if (isNewer) {
-			this._entries.set(member.id, {member, heardAt: now, isSuspect: false});
+		// An instance that has left before it was known is of no use.
+		if (held === undefined ? member.state === MemberState.Left : !isNewer(member, held)) {
+			return false;
 		}
+
+		this._toggleDigest(held);
+		this._toggleDigest(member);
+		this._changeNumber++;
+		this._entries.set(member.id, {
+			member, changeNumber: this._changeNumber, changedAt: now, source,
+		});
+		return true;
 	}
 
-	/** Notes that an instance did not answer; it counts as lost until it is heard of again. */
-	markSuspect(id: string): void {
-		const entry = this._entries.get(id);
-		if (entry !== undefined) {
-			entry.isSuspect = true;
-		}
+	/** Lists the instances that count as running. */
+	listRunning(): GatewayMember[] {
+		return this.members.filter(({state}) => state === MemberState.Running);
+	}
+
+	/** Lists the instances that did not answer and have not said that they end. */
+	listLost(): GatewayMember[] {
+		return this.members.filter(({state}) => state === MemberState.Lost);
+	}
+
+	/** Counts the instances of a failure domain that may be running, whether they can be reached or not. */
+	countPossible(failureDomain: string): number {
+		return this.members.filter(member => member.failureDomain === failureDomain && member.state !== MemberState.Left).length;
 	}
 
 	/**
-	Lists the instances that count as running.
-	@param maxAgeMs - Silence after which an instance counts as lost, in ms.
+	Lists the records that changed after a given change.
+	@param receiver - Instance to be told; it need not be told what it said itself.
 	*/
-	listLive(now: number, maxAgeMs: number): GatewayMember[] {
+	listChanges(changeNumber: number, receiver: string): GatewayMember[] {
+		if (changeNumber >= this._changeNumber) {
+			return [];
+		}
+
 		return [...this._entries.values()]
-			.filter(entry => !entry.isSuspect && now - entry.heardAt <= maxAgeMs)
-			.map(entry => entry.member);
+			.filter(entry => entry.changeNumber > changeNumber && entry.source !== receiver)
+			.map(({member}) => member);
 	}
 
-	/** Forgets instances that have been silent for long. */
-	dropSilent(now: number, maxAgeMs: number): void {
-		for (const [id, entry] of this._entries) {
-			if (now - entry.heardAt > maxAgeMs) {
+	/** Forgets instances that have not been running for long. */
+	dropEnded(now: number, maxAgeMs: number): void {
+		for (const [id, {member, changedAt}] of this._entries) {
+			if (member.state !== MemberState.Running && now - changedAt > maxAgeMs) {
 				this._entries.delete(id);
 			}
 		}
 	}
+
+	private _toggleDigest(member: GatewayMember | undefined): void {
+		if (member?.state === MemberState.Running) {
+			this._digest = (this._digest ^ hashMember(member)) >>> 0; // eslint-disable-line no-bitwise
+		}
+	}
 }
--- /dev/null
+++ b/src/policy/gateway/target-table.test.ts
@@ -0,0 +1,101 @@
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+import type {GatewayTarget} from '../../common/gateway/gateway-target.js';
+import {gatewayTarget} from '../../../test/support/gateway-target.js';
+import {TargetTable} from './target-table.js';
+
+const createTarget = (id: string, revision: number, isLeaving = false): GatewayTarget => ({
+	...gatewayTarget, id, revision, isLeaving,
+});
+const describeTargets = (table: TargetTable): string[] => table.targets.map(({id, isLeaving}) => `${id} ${isLeaving}`).sort();
+
+describe('TargetTable', () => {
+	it.each([
+		{
+			name: 'a newer list', list: {revision: 9, targets: [createTarget('b', 8)]}, held: ['b false'], hasChanged: true,
+		},
+		{
+			name: 'the same list', list: {revision: 9, targets: [createTarget('a', 4)]}, held: ['a false'], hasChanged: false,
+		},
+		{
+			name: 'an older list', list: {revision: 4, targets: [createTarget('b', 3)]}, held: ['a false'], hasChanged: false,
+		},
+		{
+			name: 'an older record of a target', list: {revision: 9, targets: [createTarget('a', 3, true)]}, held: ['a false'], hasChanged: false,
+		},
+		{
+			name: 'a target that leaves', list: {revision: 9, targets: [createTarget('a', 8, true)]}, held: ['a true'], hasChanged: true,
+		},
+	])('takes $name from the registry as it should', ({list, held, hasChanged}) => {
+		const table = new TargetTable();
+		table.takeList({revision: 5, targets: [createTarget('a', 4)]}, 0);
+		expect(table.takeList(list, 0)).toBe(hasChanged);
+		expect(describeTargets(table)).toEqual(held);
+	});
+
+	it.each([
+		{
+			name: 'changes of the list held', changes: {since: 5, changed: [createTarget('b', 8)], removed: [['a', 9]] as const}, held: ['b false'], result: true,
+		},
+		{
+			name: 'changes of a newer list', changes: {since: 7, changed: [createTarget('b', 8)], removed: []}, held: ['a false'], result: undefined,
+		},
+		{
+			name: 'changes of an older list', changes: {since: 3, changed: [createTarget('b', 8)], removed: []}, held: ['a false'], result: undefined,
+		},
+		{
+			name: 'a whole list', changes: {since: 0, changed: [createTarget('b', 8)], removed: []}, held: ['b false'], result: true,
+		},
+		{
+			name: 'a record from before the list held', changes: {since: 0, changed: [createTarget('a', 4), createTarget('c', 3)], removed: []}, held: ['a false'], result: false,
+		},
+	])('takes $name from a peer as it should', ({changes, held, result}) => {
+		const table = new TargetTable();
+		table.takeList({revision: 5, targets: [createTarget('a', 4)]}, 0);
+		expect(table.takeChanges(changes, 9, 0)).toBe(result);
+		expect(describeTargets(table)).toEqual(held);
+	});
+
+	it('shortens the warm-up that it passes on by the time for which it held the record', () => {
+		const table = new TargetTable();
+		table.takeList({revision: 5, targets: [createTarget('a', 4)]}, 1000);
+		expect(table.collectChanges(0, 2500).changed[0]?.warmUpLeftMs).toBe(gatewayTarget.warmUpLeftMs - 1500);
+	});
+
+	it('holds what the registry held at its revision, with two readers and messages in any order', () => {
+		const step = fc.record({
+			action: fc.constantFrom('write', 'remove', 'read', 'tell', 'tell'),
+			id: fc.constantFrom('a', 'b', 'c', 'd'),
+			isLeaving: fc.boolean(),
+			from: fc.integer({min: 0, max: 3}),
+			to: fc.integer({min: 0, max: 3}),
+		});
+		fc.assert(fc.property(fc.array(step, {maxLength: 150}), steps => {
+			const tables = Array.from({length: 4}, () => new TargetTable());
+			const registry = new Map<string, GatewayTarget>();
+			const states = new Map<number, string[]>();
+			let revision = 1;
+			for (const {action, id, isLeaving, from, to} of steps) {
+				const table = tables[from];
+				const receiver = tables[to];
+				if (action === 'write' || action === 'remove') {
+					revision++;
+					if (action === 'write') {
+						registry.set(id, createTarget(id, revision, isLeaving));
+					} else {
+						registry.delete(id);
+					}
+				} else if (action === 'read' && from < 2) {
+					table?.takeList({revision, targets: [...registry.values()]}, 0);
+				} else if (action === 'tell' && table !== undefined && receiver !== undefined && table.completeTo > 0) {
+					receiver.takeChanges(table.collectChanges(receiver.completeTo, 0), table.completeTo, 0);
+				}
+
+				states.set(revision, [...registry.values()].map(target => `${target.id} ${target.isLeaving}`).sort());
+				for (const held of tables.filter(({completeTo}) => completeTo > 0)) {
+					expect(describeTargets(held)).toEqual(states.get(held.completeTo));
+				}
+			}
+		}), {seed: 5, numRuns: 500});
+	});
+});
