--- /dev/null
+++ b/src/controllers/gateway/entry-controller.test.ts
@@ -0,0 +1,92 @@
+import {describe, expect, it} from 'vitest';
+import type {GatewayMember} from '../../common/gateway/gateway-member.js';
+import {MemberState} from '../../common/gateway/member-state.js';
+import {gatewayTarget} from '../../../test/support/gateway-target.js';
+import {silentLogger} from '../../../test/support/silent-logger.js';
+import {EntryController} from './entry-controller.js';
+import {SiteView} from './site-view.js';
+
+const createMember = (id: string, failureDomain: string): GatewayMember => ({
+	id, failureDomain, dataAddress: id, peerAddress: id, cores: 1, incarnation: 1, revision: 0, state: MemberState.Running, isServing: true, canRead: true,
+});
+
+const createRoute = (host: string) => ({
+	name: host, host, pathPrefix: '/', shares: [{service: 's', weight: 1}], isIdempotent: true, timeoutMs: 1, objectiveMs: 1, priority: 1, maxAttempts: 1,
+});
+
+const createFleet = () => {
+	const view = new SiteView({clock: {now: () => 0}, logger: silentLogger});
+	const members: GatewayMember[] = [createMember('a-1', 'a'), createMember('b-1', 'b')];
+	const counted = {changes: 1, listings: 0};
+	const entries = new EntryController({
+		view,
+		failureDomain: 'a',
+		members: {
+			get changeNumber() {
+				return counted.changes;
+			},
+			listServing(failureDomain) {
+				counted.listings++;
+				const local = members.filter(member => member.failureDomain === failureDomain);
+				return local.length > 0 ? local : members;
+			},
+		},
+	});
+	const publish = (version: number, hosts: readonly string[]) => {
+		view.offerConfiguration({
+			version,
+			routes: hosts.map(host => createRoute(host)),
+			services: [{name: 's', healthPath: '/', connectionsPerTarget: 1}],
+			limits: {
+				headerBytes: 1, bodyBytes: 1, headersTimeoutMs: 1, idleTimeoutMs: 1,
+			},
+		}, 0);
+	};
+
+	publish(1, ['h.example']);
+	view.offerTargets({revision: 1, targets: [gatewayTarget]}, 0);
+	return {
+		entries, members, counted, publish, ask: (failureDomain: string, host = 'h.example') => entries.answer({host, failureDomain}).addresses,
+	};
+};
+
+describe('EntryController', () => {
+	it.each([
+		['its failure domain', 'b', ['b-1']],
+		['the own one when a caller does not say', '', ['a-1']],
+		['all when a caller names one without instances', 'z', ['a-1', 'b-1']],
+	])('names instances of %s', (_name, failureDomain, addresses) => {
+		expect(createFleet().ask(failureDomain, 'unknown.example')).toEqual(addresses);
+	});
+
+	it('names an instance from its first serving on', () => {
+		const {members, counted, ask} = createFleet();
+		expect(ask('a')).toEqual(['a-1']);
+		members.push(createMember('a-2', 'a'));
+		counted.changes++;
+		expect([...ask('a')].sort()).toEqual(['a-1', 'a-2']);
+	});
+
+	it('assigns hosts of a newer configuration', () => {
+		const {members, publish, counted, ask} = createFleet();
+		members.push(createMember('a-2', 'a'));
+		counted.changes++;
+		expect(ask('a')).toHaveLength(2);
+		publish(2, ['h.example', 'i.example']);
+		expect([...ask('a'), ...ask('a', 'i.example')].sort()).toEqual(['a-1', 'a-2']);
+	});
+
+	it('does not work out the assignment again while nothing changes, and keeps a bounded number', () => {
+		const {counted, ask} = createFleet();
+		for (let index = 0; index < 100; index++) {
+			ask('a');
+		}
+
+		expect(counted.listings).toBe(1);
+		for (let index = 0; index < 200; index++) {
+			ask(`z-${index}`);
+		}
+
+		expect(ask('a')).toEqual(['a-1']);
+	});
+});
--- a/src/controllers/gateway/entry-controller.ts
+++ b/src/controllers/gateway/entry-controller.ts
@@ -1,20 +1,31 @@
 import type {EntryAnswer} from '../../common/gateway/entry-answer.js';
 import type {EntryQuestion} from '../../common/gateway/entry-question.js';
 import {assignEntries} from '../../policy/gateway/assign-entries.js';
+import type {GatewayMember} from '../../common/gateway/gateway-member.js';
 import type {HostSize} from '../../policy/gateway/host-size.js';
 import type {MemberController} from './member-controller.js';
 import type {SiteView} from './site-view.js';
 
 type EntryControllerOptions = {
-	readonly members: MemberController;
+	readonly members: Pick<MemberController, 'listServing' | 'changeNumber'>;
 	readonly view: SiteView;
 	/** Used when a caller does not say where it is. */
 	readonly failureDomain: string;
 };
 
+type Assignment = {
+	/** Number of the last change of the instances that it takes into account. */
+	readonly changeNumber: number;
+	readonly serving: readonly GatewayMember[];
+	readonly entries: ReadonlyMap<string, readonly GatewayMember[]>;
+};
+
 /** Time for which an answer holds, in ms; callers keep it up to three times as long, so it bounds how long a lost instance is tried. */
 const lifetimeMs = 1000;
 
+/** Assignments that are kept; callers may name any failure domain. */
+const maxAssignments = 64;
+
 /** Addresses of one answer; callers take no more. */
 const maxAddresses = 64;
 
@@ -29,15 +40,44 @@
 
 /** Answers which instances callers should connect to: those of their failure domain that serve the host name. */
 export class EntryController {
-	constructor(private readonly _options: EntryControllerOptions) {}
+	private _hosts: HostSize[] = [];
+	private readonly _assignments = new Map<string, Assignment>();
+
+	constructor(private readonly _options: EntryControllerOptions) {
+		const {view} = _options;
+		const update = () => {
+			this._hosts = this._measureHosts();
+			this._assignments.clear();
+		};
+
+		view.onConfiguration(update);
+		view.onTargets(update);
+	}
 
 	answer(question: EntryQuestion): EntryAnswer {
-		const {members, failureDomain} = this._options;
-		const serving = members.listServing(question.failureDomain === '' ? failureDomain : question.failureDomain);
-		const assigned = assignEntries(this._measureHosts(), serving).get(question.host.toLowerCase()) ?? serving;
+		const {serving, entries} = this._assign(question.failureDomain === '' ? this._options.failureDomain : question.failureDomain);
+		const assigned = entries.get(question.host.toLowerCase()) ?? serving;
 		return {addresses: assigned.slice(0, maxAddresses).map(member => member.dataAddress), lifetimeMs};
 	}
 
+	/** Assigns the host names to the entries of a failure domain; kept until configuration, targets or instances change. */
+	private _assign(failureDomain: string): Assignment {
+		const {members} = this._options;
+		const kept = this._assignments.get(failureDomain);
+		if (kept?.changeNumber === members.changeNumber) {
+			return kept;
+		}
+
+		const serving = members.listServing(failureDomain);
+		const assignment = {changeNumber: members.changeNumber, serving, entries: assignEntries(this._hosts, serving)};
+		if (this._assignments.size >= maxAssignments) {
+			this._assignments.clear();
+		}
+
+		this._assignments.set(failureDomain, assignment);
+		return assignment;
+	}
+
 	/** Slots behind each host name: the targets of all services that its routes lead to. */
 	private _measureHosts(): HostSize[] {
 		const {configuration, targets} = this._options.view;
--- a/src/controllers/gateway/member-controller.ts
+++ b/src/controllers/gateway/member-controller.ts
@@ -95,6 +95,11 @@
 		return this._readers.slice(1, 1 + deputyCount).some(({id}) => id === this._options.self.id);
 	}
 
+	/** Grows with each change of what is known of the instances. */
+	get changeNumber(): number {
+		return this._table.changeNumber;
+	}
+
 	/** Instances of the own failure domain that may be running, this one included. */
 	get localCount(): number {
 		this._order();
--- a/src/filters/gateway/route-filter.ts
+++ b/src/filters/gateway/route-filter.ts
@@ -3,7 +3,7 @@
 import {RequestError} from '../../common/request-error.js';
 import type {SiteView} from '../../controllers/gateway/site-view.js';
 import {chooseShare} from '../../policy/gateway/choose-share.js';
-import {findRoute} from '../../policy/gateway/find-route.js';
+import {RouteIndex} from '../../policy/gateway/route-index.js';
 import type {GatewayContext} from './gateway-context.js';
 import type {GatewayFilter} from './gateway-filter.js';
 import type {GatewayNext} from './gateway-next.js';
@@ -15,9 +15,11 @@
 /** Finds the route of a request and the service that gets it. */
 export class RouteFilter implements GatewayFilter {
 	private _shareCounts = new Map<string, Map<string, number>>();
+	private _routes = new RouteIndex([]);
 
 	constructor(private readonly _view: SiteView) {
-		_view.onConfiguration(() => {
+		_view.onConfiguration(({routes}) => {
+			this._routes = new RouteIndex(routes);
 			// The weights may have changed; counts under the old ones would skew the new split.
 			this._shareCounts = new Map();
 		});
@@ -35,7 +37,7 @@
 
 		const {request} = context;
 		const [path = '/'] = (request.url ?? '/').split('?', 1);
-		const route = findRoute(configuration.routes, request.headers.host ?? '', path);
+		const route = this._routes.findRoute(request.headers.host ?? '', path);
 		if (route === undefined) {
 			return err(new RequestError(ErrorKind.UnknownService, `no route of version ${configuration.version} matches the host "${request.headers.host ?? ''}" and this path`));
 		}
--- a/src/policy/gateway/find-route.test.ts
+++ b/src/policy/gateway/route-index.test.ts
@@ -1,6 +1,6 @@
 import {describe, expect, it} from 'vitest';
 import type {GatewayRoute} from '../../common/gateway/gateway-route.js';
-import {findRoute} from './find-route.js';
+import {RouteIndex} from './route-index.js';
 
 const createRoute = (name: string, host: string, pathPrefix: string): GatewayRoute => ({
 	name, host, pathPrefix, shares: [{service: 's', weight: 1}], isIdempotent: true, timeoutMs: 1000, objectiveMs: 300, priority: 1, maxAttempts: 2,
@@ -8,7 +8,7 @@
 
 const routes = [createRoute('root', 'a.example', '/'), createRoute('long', 'a.example', '/x/y/'), createRoute('short', 'a.example', '/x/'), createRoute('other', 'b.example', '/x/')];
 
-describe('findRoute', () => {
+describe('RouteIndex', () => {
 	it.each([
 		['the longest prefix', 'a.example', '/x/y/z', 'long'],
 		['a shorter prefix', 'a.example', '/x/z', 'short'],
@@ -19,6 +19,10 @@
 		['no prefix of the host', 'b.example', '/y/', undefined],
 		['an unknown host', 'c.example', '/x/', undefined],
 	])('finds %s', (_name, host, path, expected) => {
-		expect(findRoute(routes, host, path)?.name).toBe(expected);
+		expect(new RouteIndex(routes).findRoute(host, path)?.name).toBe(expected);
+	});
+
+	it('keeps the first of two routes with one prefix', () => {
+		expect(new RouteIndex([createRoute('first', 'a.example', '/x/'), createRoute('second', 'a.example', '/x/')]).findRoute('a.example', '/x/1')?.name).toBe('first');
 	});
 });
