--- a/src/controllers/gateway/target-asker.ts
+++ b/src/controllers/gateway/target-asker.ts
@@ -3,6 +3,7 @@
 import {AttemptEnd} from '../../common/gateway/attempt-end.js';
 import type {GatewayService} from '../../common/gateway/gateway-service.js';
 import type {Metrics} from '../../common/metrics.js';
+import type {RateBudget} from '../../policy/gateway/rate-budget.js';
 import type {TargetPlace} from './target-place.js';
 import type {TargetProber} from './target-prober.js';
 import type {TargetRater} from './target-rater.js';
@@ -11,6 +12,8 @@
 	readonly service: GatewayService;
 	readonly prober: TargetProber;
 	readonly rater: TargetRater;
+	/** Probes that this instance may send to the targets of the service. */
+	readonly budget: RateBudget;
 	readonly metrics: Metrics;
 	readonly clock: Clock;
 };
@@ -20,7 +23,7 @@
 /** The same within a failure domain, in ms. */
 const localProbeWaitMs = 3;
 
-/** Asks targets of one service for their load, within the budget of probes of each. */
+/** Asks targets of one service for their load, within the budget of probes of the service. */
 export class TargetAsker {
 	constructor(private readonly _options: TargetAskerOptions) {}
 
@@ -35,7 +38,7 @@
 	}
 
 	private async _askOnce(place: TargetPlace): Promise<void> {
-		if (place.probing === undefined && place.probes.tryTake(this._options.clock.now())) {
+		if (place.probing === undefined && this._options.budget.tryTake(this._options.clock.now())) {
 			place.probing = this._ask(place);
 		}
 
--- a/src/controllers/gateway/target-place.ts
+++ b/src/controllers/gateway/target-place.ts
@@ -1,4 +1,3 @@
-import type {RateBudget} from '../../policy/gateway/rate-budget.js';
 import type {TargetRecord} from '../../policy/gateway/target-record.js';
 import type {TargetClient} from '../../io/gateway/target-client.js';
 
@@ -6,7 +5,6 @@
 export type TargetPlace = {
 	readonly record: TargetRecord;
 	readonly client: TargetClient;
-	readonly probes: RateBudget;
 	/** The probe that is under way; whoever needs one meanwhile waits for it. */
 	probing: Promise<void> | undefined;
 };
--- a/src/controllers/gateway/target-pool.ts
+++ b/src/controllers/gateway/target-pool.ts
@@ -25,7 +25,7 @@
 	readonly metrics: Metrics;
 	/** Connections that this instance may hold to one target at this moment. */
 	readonly getMaxConnections: () => number;
-	/** Probes that this instance may send to one target at this moment, a second. */
+	/** Probes that this instance may send at this moment, a second and target. */
 	readonly getProbeRate: () => number;
 	/** Called after a place was given back. */
 	readonly onRelease: () => void;
@@ -49,7 +49,9 @@
 
 	constructor(private readonly _options: TargetPoolOptions) {
 		this._rater = new TargetRater(_options.failureDomain);
-		this._asker = new TargetAsker({..._options, rater: this._rater});
+		// The bound is one on the mean of all targets, and those of the own failure domain are asked most.
+		const budget = new RateBudget({getRate: () => _options.getProbeRate() * this.size, burstSeconds: probeBurstSeconds}, _options.clock.now());
+		this._asker = new TargetAsker({..._options, rater: this._rater, budget});
 	}
 
 	/** Averages of the time that the service's work takes. */
@@ -73,7 +75,7 @@
 
 	/** Takes the service's targets from the newest list; requests in flight at others go on. */
 	update(targets: readonly GatewayTarget[]): void {
-		const {clock, getMaxConnections, getProbeRate} = this._options;
+		const {clock, getMaxConnections} = this._options;
 		const listed = new Map(targets.filter(target => !target.isLeaving).map(target => [`${target.id} ${target.startedAt}`, target]));
 		const gone = new Map<string, TargetRecord>();
 		for (const [key, place] of this._places) {
@@ -90,7 +92,6 @@
 				this._places.set(key, {
 					record: new TargetRecord(target, clock.now(), gone.get(target.id)),
 					client: new TargetClient({host: target.host, port: target.port, getMaxConnections}),
-					probes: new RateBudget({getRate: getProbeRate, burstSeconds: probeBurstSeconds}, clock.now()),
 					probing: undefined,
 				});
 			}
--- a/src/policy/gateway/rate-budget.ts
+++ b/src/policy/gateway/rate-budget.ts
@@ -7,11 +7,10 @@
 
 /** Allows a number of events a second on average. */
 export class RateBudget {
-	private _tokens: number;
+	/** Full at the first event, whatever the rate is then. */
+	private _tokens = Number.POSITIVE_INFINITY;
 
-	constructor(private readonly _options: RateBudgetOptions, private _filledAt: number) {
-		this._tokens = _options.getRate() * _options.burstSeconds;
-	}
+	constructor(private readonly _options: RateBudgetOptions, private _filledAt: number) {}
 
 	/** Takes one event; false when the rate is used up. */
 	tryTake(now: number): boolean {
