--- a/src/controllers/gateway/source-reader.ts
+++ b/src/controllers/gateway/source-reader.ts
@@ -44,8 +44,9 @@
 const standInMs = 4000;
 /** Time in which instances that start together get to know each other, in ms; callers come 10 s after the first start. */
 const peersKnownMs = 1500;
-/** Time that a started instance gives its peers to tell it all, in ms; one exchange takes 3 ms, and a seed may be lost. */
-const toldFirstMs = 400;
+/** Time that a started instance gives its peers to tell it all, in ms, and its chance part, which lets a few read first when all have started. */
+const toldFirstMs = 600;
+const toldFirstSpreadMs = 400;
 /** Pause between two checks whether this instance has to read, in ms. */
 const idlePauseMs = 100;
 /** Pause while there is no configuration yet, in ms. */
@@ -61,7 +62,7 @@
 /** Reads configuration and targets from the site's registry: always on a few instances, on the others while nobody tells them. */
 export class SourceReader implements DisposableLike {
 	private readonly _ending = new AbortController();
-	private readonly _startedAt: number;
+	private readonly _readsAloneAt: number;
 	private readonly _ageLimitMs: number;
 	private _failures = 0;
 	private _isConfigurationRead = true;
@@ -70,7 +71,7 @@
 
 	constructor(private readonly _options: SourceReaderOptions) {
 		const {clock, random, targetChangeMs} = _options;
-		this._startedAt = clock.now();
+		this._readsAloneAt = clock.now() + toldFirstMs + (toldFirstSpreadMs * random());
 		this._ageLimitMs = targetChangeMs * (otherAgeShare + (otherAgeSpread * random()));
 	}
 
@@ -91,7 +92,7 @@
 	checkReading(): boolean {
 		const {view, clock, isReader, isDeputy, isJoined, waitsForPeers, targetChangeMs, configurationChangeMs} = this._options;
 		const now = clock.now();
-		const isWaiting = !waitsForPeers && now - this._startedAt < toldFirstMs;
+		const isWaiting = !waitsForPeers && now < this._readsAloneAt;
 		if (!view.isComplete) {
 			return isReader() ? isJoined() || !isWaiting : !waitsForPeers && !isWaiting;
 		}
