--- a/src/bin/gateway-daemon.ts
+++ b/src/bin/gateway-daemon.ts
@@ -241,7 +241,7 @@
 			new MeasureFilter({metrics: this._metrics, clock: systemClock}),
 			new SendAnswerFilter(),
 			new OutcomeFilter(),
-			new RouteFilter(this._view),
+			new RouteFilter(this._view, Math.random),
 			new TimeLimitFilter({clock: systemClock, timeoutHeader: site.headers.timeoutMs}),
 			new BodyFilter(this._view),
 			new RepeatFilter({placement: this._placement, runner: new AttemptRunner({headers: site.headers, clock: systemClock})}),
--- a/src/filters/gateway/route-filter.ts
+++ b/src/filters/gateway/route-filter.ts
@@ -3,6 +3,7 @@
 import {RequestError} from '../../common/request-error.js';
 import type {SiteView} from '../../controllers/gateway/site-view.js';
 import {chooseShare} from '../../policy/gateway/choose-share.js';
+import {createShareCounts} from '../../policy/gateway/create-share-counts.js';
 import {RouteIndex} from '../../policy/gateway/route-index.js';
 import type {GatewayContext} from './gateway-context.js';
 import type {GatewayFilter} from './gateway-filter.js';
@@ -17,7 +18,7 @@
 	private _shareCounts = new Map<string, Map<string, number>>();
 	private _routes = new RouteIndex([]);
 
-	constructor(private readonly _view: SiteView) {
+	constructor(private readonly _view: SiteView, private readonly _random: () => number) {
 		_view.onConfiguration(({routes}) => {
 			this._routes = new RouteIndex(routes);
 			// The weights may have changed; counts under the old ones would skew the new split.
@@ -55,7 +56,7 @@
 
 		let counts = this._shareCounts.get(route);
 		if (counts === undefined) {
-			counts = new Map();
+			counts = createShareCounts(shares, this._random);
 			this._shareCounts.set(route, counts);
 		}
 
