--- a/src/controllers/gateway/site-view.ts
+++ b/src/controllers/gateway/site-view.ts
@@ -26,6 +26,8 @@
 	private _configuration: GatewayConfiguration | undefined;
 	private _configurationConfirmedAt = Number.NEGATIVE_INFINITY;
 	private _targetsConfirmedAt = Number.NEGATIVE_INFINITY;
+	private _announcedVersion = 0;
+	private _announcedAt = Number.NEGATIVE_INFINITY;
 
 	constructor(private readonly _options: SiteViewOptions) {}
 
@@ -67,6 +69,11 @@
 		return this._options.clock.now() - this._configurationConfirmedAt;
 	}
 
+	/** Time for which peers have told of a newer configuration than the one in force, in ms; 0 when there is none. */
+	get configurationLagMs(): number {
+		return this._announcedVersion > (this._configuration?.version ?? 0) ? this._options.clock.now() - this._announcedAt : 0;
+	}
+
 	get version(): ViewVersion {
 		return {
 			configuration: this._configuration?.version ?? 0,
@@ -85,6 +92,7 @@
 		if (isNewer) {
 			this._configuration = configuration;
 			this._configurationConfirmedAt = Number.NEGATIVE_INFINITY;
+			this._announcedAt = this._options.clock.now();
 		}
 
 		this.confirmConfiguration(configuration.version, ageMs);
@@ -125,6 +133,7 @@
 			this._confirmTargets(view.targetsAgeMs);
 		}
 
+		this._noteAnnounced(view.configuration);
 		this.confirmConfiguration(view.configuration, view.configurationAgeMs);
 		this._announceTargets(before, hasChanged);
 	}
@@ -140,6 +149,15 @@
 		this._onNews.dispose();
 	}
 
+	private _noteAnnounced(version: number): void {
+		const held = this._configuration?.version ?? 0;
+		if (version > held) {
+			// Counted from the first version that was missed since the last one that came: each further one may be missed as well.
+			this._announcedAt = this._announcedVersion > held ? this._announcedAt : this._options.clock.now();
+			this._announcedVersion = Math.max(this._announcedVersion, version);
+		}
+	}
+
 	private _confirmTargets(ageMs: number): void {
 		this._targetsConfirmedAt = Math.max(this._targetsConfirmedAt, this._options.clock.now() - ageMs);
 	}
--- a/src/controllers/gateway/source-reader-rules.test.ts
+++ b/src/controllers/gateway/source-reader-rules.test.ts
@@ -13,7 +13,7 @@
 };
 
 const defaults = {
-	isReader: false, isDeputy: false, isJoined: true, waitsForPeers: false, isComplete: true, targetsAgeMs: 0, configurationAgeMs: 0, runsMs: 10_000,
+	isReader: false, isDeputy: false, isJoined: true, waitsForPeers: false, isComplete: true, targetsAgeMs: 0, configurationAgeMs: 0, runsMs: 10_000, lagMs: undefined as number | undefined,
 };
 
 const createReader = (given: Partial<typeof defaults>) => {
@@ -50,7 +50,9 @@
 		view.offerTargets({revision, targets: [gatewayTarget]}, targetsAgeMs);
 	};
 
-	return {reader, time, tell};
+	return {
+		reader, time, tell, view,
+	};
 };
 
 describe('SourceReader.checkReading', () => {
@@ -82,13 +84,25 @@
 			name: 'the reader at the first start', isComplete: false, waitsForPeers: true, isReader: true, expected: true,
 		},
 	])('lets $name read: $expected', ({name: _name, expected, ...given}) => {
-		const {isComplete, targetsAgeMs, configurationAgeMs, runsMs} = {...defaults, ...given};
-		const {reader, time, tell} = createReader(given);
+		const {isComplete, targetsAgeMs, configurationAgeMs, runsMs, lagMs} = {...defaults, ...given};
+		const {
+			reader, time, tell, view,
+		} = createReader(given);
 		time.now = runsMs;
 		if (isComplete) {
 			tell(targetsAgeMs, configurationAgeMs);
 		}
 
+		if (lagMs !== undefined) {
+			view.offerPeerView({
+				configuration: 2, configurationAgeMs: 0, targets: 1, targetsAgeMs: 0,
+			}, undefined);
+			time.now += lagMs;
+			view.offerPeerView({
+				configuration: 3, configurationAgeMs: 0, targets: 1, targetsAgeMs: 0,
+			}, undefined);
+		}
+
 		expect(reader.checkReading()).toBe(expected);
 	});
 
--- a/src/controllers/gateway/source-reader.ts
+++ b/src/controllers/gateway/source-reader.ts
@@ -40,6 +40,8 @@
 const otherAgeSpread = 0.15;
 /** The same for the configuration, which the reader sees confirmed once a second: beyond the time itself, since a change is told at once. */
 const configurationAgeShare = 1.25;
+/** Time for which a newer configuration that peers told of may be missing, as a share of that in which it has to be in force; then it is read. */
+const configurationLagShare = 0.25;
 /** Time for which an instance that nobody told goes on to read, in ms. */
 const standInMs = 4000;
 /** Time in which instances that start together get to know each other, in ms; callers come 10 s after the first start. */
@@ -98,7 +100,8 @@
 		}
 
 		const ageLimitMs = isDeputy() ? targetChangeMs * deputyAgeShare : this._ageLimitMs;
-		if (view.targetsAgeMs > ageLimitMs || view.configurationAgeMs > configurationChangeMs * configurationAgeShare) {
+		const isConfigurationOld = view.configurationAgeMs > configurationChangeMs * configurationAgeShare || view.configurationLagMs > configurationChangeMs * configurationLagShare;
+		if (view.targetsAgeMs > ageLimitMs || isConfigurationOld) {
 			this._standInUntil = now + standInMs;
 		}
 
