--- a/src/common/gateway/gateway-settings.ts
+++ b/src/common/gateway/gateway-settings.ts
@@ -25,6 +25,8 @@
 	readonly limits: {
 		/** Processor time that this instance may use, in cores. */
 		readonly cores: number;
+		/** Memory that this instance may use, in bytes. */
+		readonly memoryBytes: number;
 		/** Time in which a change of the targets has to be in force, in ms. */
 		readonly targetChangeMs: number;
 		/** Time in which a change of the configuration has to be in force, in ms. */
--- a/src/controllers/gateway/placement-controller.test.ts
+++ b/src/controllers/gateway/placement-controller.test.ts
@@ -7,7 +7,7 @@
 
 const windowMs = 10_000;
 const limits = {
-	cores: 1, targetChangeMs: 2000, configurationChangeMs: 2000, stopMs: 6000, retryRatio: 0.2, retrySlack: 196, retryWindowMs: windowMs, probesPerTargetPerSecond: 42,
+	cores: 1, memoryBytes: 250_000_000, targetChangeMs: 2000, configurationChangeMs: 2000, stopMs: 6000, retryRatio: 0.2, retrySlack: 196, retryWindowMs: windowMs, probesPerTargetPerSecond: 42,
 };
 
 describe('PlacementController', () => {
--- a/src/controllers/gateway/placement-controller.ts
+++ b/src/controllers/gateway/placement-controller.ts
@@ -29,6 +29,8 @@
 
 type ServiceState = {readonly pool: TargetPool; readonly placer: ServicePlacer; readonly retries: RetryAllowance};
 
+/** Part of the memory that one answer may take: answers are held whole, some tens at a time, beside heap and sockets. */
+const memoryPerAnswer = 64;
 /** Part of the allowed ratio of repeats that is used: a repeat is counted up to ten seconds after the request that allows it. */
 const usedRatio = 0.8;
 
@@ -115,6 +117,7 @@
 			random,
 			prober: new TargetProber(headers),
 			metrics,
+			maxAnswerBytes: limits.memoryBytes / memoryPerAnswer,
 			getMaxConnections: () => Math.max(1, Math.floor(share.divide(service.connectionsPerTarget))),
 			getProbeRate: () => share.divide(limits.probesPerTargetPerSecond),
 			onRelease() {
--- a/src/controllers/gateway/target-pool.test.ts
+++ b/src/controllers/gateway/target-pool.test.ts
@@ -35,6 +35,7 @@
 			prober: prober as unknown as TargetProber,
 			metrics: disabledMetrics,
 			getMaxConnections: () => 2,
+			maxAnswerBytes: 1_000_000,
 			getProbeRate: () => probeRate,
 			onRelease: () => undefined,
 		});
--- a/src/controllers/gateway/target-pool.ts
+++ b/src/controllers/gateway/target-pool.ts
@@ -25,6 +25,8 @@
 	readonly metrics: Metrics;
 	/** Connections that this instance may hold to one target at this moment. */
 	readonly getMaxConnections: () => number;
+	/** Bytes of an answer that are held; a longer one is not taken. */
+	readonly maxAnswerBytes: number;
 	/** Probes that this instance may send at this moment, a second and target. */
 	readonly getProbeRate: () => number;
 	/** Called after a place was given back. */
@@ -75,7 +77,7 @@
 
 	/** Takes the service's targets from the newest list; requests in flight at others go on. */
 	update(targets: readonly GatewayTarget[]): void {
-		const {clock, getMaxConnections} = this._options;
+		const {clock, getMaxConnections, maxAnswerBytes} = this._options;
 		const listed = new Map(targets.filter(target => !target.isLeaving).map(target => [`${target.id} ${target.startedAt}`, target]));
 		const gone = new Map<string, TargetRecord>();
 		for (const [key, place] of this._places) {
@@ -91,7 +93,9 @@
 			if (!this._places.has(key)) {
 				this._places.set(key, {
 					record: new TargetRecord(target, clock.now(), gone.get(target.id)),
-					client: new TargetClient({host: target.host, port: target.port, getMaxConnections}),
+					client: new TargetClient({
+						host: target.host, port: target.port, getMaxConnections, maxAnswerBytes,
+					}),
 					probing: undefined,
 				});
 			}
--- a/src/io/gateway/read-gateway-settings.test.ts
+++ b/src/io/gateway/read-gateway-settings.test.ts
@@ -16,7 +16,7 @@
 	isFirstStart: true,
 	registry: '10.0.0.3:9',
 	limits: {
-		cores: 1, targetChangeMs: 2000, configurationChangeMs: 2000, stopMs: 6000, retryRatio: 0.2, retrySlack: 64, retryWindowMs: 10_000, probesPerTargetPerSecond: 60,
+		cores: 1, memoryBytes: 250_000_000, targetChangeMs: 2000, configurationChangeMs: 2000, stopMs: 6000, retryRatio: 0.2, retrySlack: 64, retryWindowMs: 10_000, probesPerTargetPerSecond: 60,
 	},
 };
 
--- a/src/io/gateway/target-client.test.ts
+++ b/src/io/gateway/target-client.test.ts
@@ -4,11 +4,12 @@
 } from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	afterEach, describe, expect, it,
+	afterEach, describe, expect, it, vi,
 } from 'vitest';
 import {TargetClient} from './target-client.js';
 
 const head = 'HTTP/1.1 200 OK\r\nX-Id: a\r\n';
+const maxAnswerBytes = 1_000_000;
 
 /** Keeps the process from reading for a while, so that data and the end of a connection arrive together. */
 const blockReading = (ms: number): void => {
@@ -31,7 +32,9 @@
 		await new Promise<void>(resolve => {
 			created.listen(0, '127.0.0.1', resolve);
 		});
-		return new TargetClient({host: '127.0.0.1', port: (created.address() as AddressInfo).port, getMaxConnections: () => 2});
+		return new TargetClient({
+			host: '127.0.0.1', port: (created.address() as AddressInfo).port, getMaxConnections: () => 2, maxAnswerBytes,
+		});
 	};
 
 	const send = async (client: TargetClient) => client.sendRequest({
@@ -42,6 +45,66 @@
 		server?.close();
 	});
 
+	it.each([
+		['a head', head, 'X-More: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n'],
+		['a line', '', 'a'.repeat(1000)],
+		['informational answers', '', 'HTTP/1.1 103 Early Hints\r\nX-A: b\r\n\r\n'.repeat(20)],
+		['chunks', `${head}Transfer-Encoding: chunked\r\n\r\n`, `2710\r\n${'a'.repeat(10_000)}\r\n`],
+		['a body without a length', `${head}\r\n`, 'a'.repeat(10_000)],
+		['a body longer than is held', `${head}Content-Length: 1000000000\r\n\r\n`, 'a'.repeat(10_000)],
+	])('closes the connection of a target that sends %s without end', async (_name, begin, more) => {
+		const closed = new Map<string, number>();
+		let sentBytes = 0;
+		const client = await listen(socket => {
+			const pour = () => {
+				while (!socket.destroyed && socket.write(more)) {
+					sentBytes += more.length;
+				}
+			};
+
+			socket.once('close', () => {
+				closed.set('socket', sentBytes);
+			});
+			socket.on('drain', pour);
+			socket.write(begin);
+			pour();
+		});
+		const exchange = await send(client);
+		expect(exchange.kind).toBe('lost');
+		await vi.waitFor(() => {
+			expect(closed.has('socket')).toBe(true);
+		}, {timeout: 2000});
+		expect(sentBytes).toBeLessThan(20 * maxAnswerBytes);
+		client.dispose();
+	});
+
+	it.each([
+		['a body without a length', `${head}\r\n`],
+		['a body that is longer than its time', `${head}Content-Length: 100000000000\r\n\r\n`],
+	])('closes the connection of a health check that is answered with %s', async (_name, begin) => {
+		let isClosed = false;
+		const client = await listen(socket => {
+			const pour = () => {
+				while (!socket.destroyed && socket.write('a'.repeat(10_000))) {
+					// Writes until the socket is full.
+				}
+			};
+
+			socket.once('close', () => {
+				isClosed = true;
+			});
+			socket.on('drain', pour);
+			socket.write(begin);
+			pour();
+		});
+		const answer = await client.sendProbe('/', 'h', 100);
+		expect(answer?.status).toBe(200);
+		await vi.waitFor(() => {
+			expect(isClosed).toBe(true);
+		}, {timeout: 2000});
+		client.dispose();
+	});
+
 	it.each([
 		['a length', `${head}Content-Length: 2\r\n\r\nok`, 'end', 'answer'],
 		['chunks', `${head}Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n`, 'end', 'answer'],
--- a/src/io/gateway/target-client.ts
+++ b/src/io/gateway/target-client.ts
@@ -15,10 +15,14 @@
 	readonly port: number;
 	/** Connections that this instance may hold to the target at this moment. */
 	readonly getMaxConnections: () => number;
+	/** Bytes of an answer that are held; a longer one is not taken. */
+	readonly maxAnswerBytes: number;
 };
 
 /** Idle time after which a connection is closed, in ms; targets close theirs after 10 s or state a time of their own. */
 const idleTimeoutMs = 8000;
+/** Informational answers before the answer itself; more are no answer. */
+const maxInformational = 16;
 /** Time to open a connection, in ms; one round trip across failure domains takes 3 ms. */
 const connectTimeoutMs = 400;
 
@@ -60,6 +64,7 @@
 				isConnected = true;
 			});
 			request.on('error', fail);
+			this._limitInformational(request);
 			request.on('response', response => {
 				answer = response;
 				this._collectBody(response, resolve);
@@ -76,6 +81,7 @@
 			const request = openRequest({
 				host, port, path, agent: this._agent, headers: {host: hostHeader},
 			});
+			this._limitInformational(request);
 			// Connections stay open by default, and bytes between failure domains are dear.
 			request.removeHeader('connection');
 			// A timer costs a tenth of an abort signal, and there are several probes a request.
@@ -87,7 +93,10 @@
 				resolve(undefined);
 			});
 			request.on('response', response => {
-				clearTimeout(timer);
+				// A body without an end keeps the timer, which closes the connection.
+				response.once('end', () => {
+					clearTimeout(timer);
+				});
 				response.on('error', () => undefined);
 				response.resume();
 				resolve({status: response.statusCode ?? 0, rawHeaders: response.rawHeaders});
@@ -106,6 +115,16 @@
 		this._agent.maxFreeSockets = maxConnections;
 	}
 
+	private _limitInformational(request: ClientRequest): void {
+		let count = 0;
+		request.on('information', () => {
+			count++;
+			if (count > maxInformational) {
+				request.destroy(new Error(`more than ${maxInformational} informational answers`));
+			}
+		});
+	}
+
 	private _watchConnect(request: ClientRequest, markConnected: () => void): void {
 		request.once('socket', socket => {
 			if (!socket.connecting) {
@@ -129,7 +148,14 @@
 	private _collectBody(response: IncomingMessage, resolve: (exchange: TargetExchange) => void): void {
 		const chunks: Uint8Array[] = [];
 		const closed = hasStatedEnd(response) ? undefined : confirmClose(response.socket);
+		let byteCount = 0;
 		response.on('data', (chunk: Uint8Array) => {
+			byteCount += chunk.length;
+			if (byteCount > this._options.maxAnswerBytes) {
+				response.destroy(new Error(`the answer is longer than ${this._options.maxAnswerBytes} bytes`));
+				return;
+			}
+
 			chunks.push(chunk);
 		});
 		const finish = async () => {
