--- a/src/bin/gateway-daemon.ts
+++ b/src/bin/gateway-daemon.ts
@@ -202,7 +202,7 @@
 	/** Resolves at the end of a planned stop with the number of requests that it cut. */
 	async waitUntilStopped(): Promise<number> {
 		const cutCount = await this._shutdown.waitUntilEnded();
-		await this._members.leave();
+		await this._members.announceLeaving();
 		return cutCount;
 	}
 
--- a/src/controllers/gateway/member-controller.test.ts
+++ b/src/controllers/gateway/member-controller.test.ts
@@ -137,7 +137,7 @@
 	});
 
 	it('no longer counts an instance that has left as planned', async () => {
-		void fleet.get('b-2').members.leave();
+		void fleet.get('b-2').members.announceLeaving();
 		await fleet.run(1000);
 		fleet.silent = new Set(['b-2']);
 		await fleet.run(1000);
--- a/src/controllers/gateway/member-controller.ts
+++ b/src/controllers/gateway/member-controller.ts
@@ -48,7 +48,7 @@
 /** Instances that stand ready to read the registry when the reader is lost. */
 const deputyCount = 2;
 /** Time that an instance that ends gives its neighbours to answer, in ms. */
-const leaveMs = 100;
+const leavingAnswerMs = 100;
 /** Time for which an instance that was lost is remembered, in ms: domains may be parted for an hour and then still count. */
 const forgetMs = 2 * 3_600_000;
 
@@ -85,13 +85,13 @@
 
 	/** Whether this instance reads the registry for the others. */
 	get isReader(): boolean {
-		this._order();
+		this._updateOrder();
 		return this._readers[0]?.id === this._options.self.id;
 	}
 
 	/** Whether this instance is one of the next that read the registry when the reader is lost. */
 	get isDeputy(): boolean {
-		this._order();
+		this._updateOrder();
 		return this._readers.slice(1, 1 + deputyCount).some(({id}) => id === this._options.self.id);
 	}
 
@@ -102,7 +102,7 @@
 
 	/** Instances of the own failure domain that may be running, this one included. */
 	get localCount(): number {
-		this._order();
+		this._updateOrder();
 		return this._localCount;
 	}
 
@@ -122,7 +122,7 @@
 	/** Sends messages to neighbours that were not heard for some time, and to instances that may be back; called by a timer after the start. */
 	async runRound(): Promise<void> {
 		this._round++;
-		this._order();
+		this._updateOrder();
 		const now = this._options.clock.now();
 		const exchanges = this._neighbours.successors
 			.filter(({id}) => now - (this._links.get(id)?.heardAt ?? Number.NEGATIVE_INFINITY) >= quietMs)
@@ -154,9 +154,9 @@
 	}
 
 	/** Tells the neighbours that this instance ends, and resolves when they have answered or do not. */
-	async leave(): Promise<void> {
+	async announceLeaving(): Promise<void> {
 		this._updateSelf({state: MemberState.Left, isServing: false});
-		await Promise.race([Promise.all(this._neighbours.all.map(async member => this._exchange(member))), sleep(leaveMs)]);
+		await Promise.race([Promise.all(this._neighbours.all.map(async member => this._exchange(member))), sleep(leavingAnswerMs)]);
 	}
 
 	/** Lists instances that take callers: those of the failure domain, or all when it has none. */
@@ -195,7 +195,7 @@
 	}
 
 	/** Works out neighbours, readers and the size of the domain again when a record has changed. */
-	private _order(): void {
+	private _updateOrder(): void {
 		if (this._orderedAt !== this._table.changeNumber) {
 			this._orderedAt = this._table.changeNumber;
 			const running = this._table.listRunning();
@@ -209,7 +209,7 @@
 		const {self, clock} = this._options;
 		const held = this._table.get(self.id);
 		if (held !== undefined) {
-			this._order();
+			this._updateOrder();
 			this._table.offer({...held, ...changes, revision: held.revision + 1}, self.id, clock.now());
 			this._waitToTell();
 		}
@@ -233,7 +233,7 @@
 	}
 
 	private _tellNeighbours(): void {
-		this._order();
+		this._updateOrder();
 		for (const member of this._neighbours.all) {
 			if (this._isBehind(member.id)) {
 				void this._exchange(member);
@@ -263,7 +263,7 @@
 			return;
 		}
 
-		const link = this._findLink(member.id, member.incarnation);
+		const link = this._getLink(member.id, member.incarnation);
 		link.isExchanging = true;
 		const startedAt = this._options.clock.now();
 		const message = this._createMessage(member.id);
@@ -313,7 +313,7 @@
 	private _accept(message: SyncMessage): void {
 		const {view, clock} = this._options;
 		const now = clock.now();
-		const link = this._findLink(message.from, message.incarnation);
+		const link = this._getLink(message.from, message.incarnation);
 		const changed = message.members.filter(member => this._takeRecord(member, message.from, now));
 
 		link.heardAt = now;
@@ -323,7 +323,7 @@
 			link.toldNumber = Math.max(link.toldNumber, message.takenNumber);
 		}
 
-		this._compareDigests(link, message);
+		this._checkDigest(link, message);
 		view.offerPeerView(message.view, message.targets);
 		this._fetcher.fetchNewer();
 		if (changed.length > 0) {
@@ -343,7 +343,7 @@
 	}
 
 	/** Has all records told again when both sides have told their changes and still hold different ones. */
-	private _compareDigests(link: PeerLink, message: SyncMessage): void {
+	private _checkDigest(link: PeerLink, message: SyncMessage): void {
 		if (message.digest === this._table.digest) {
 			link.mismatches = 0;
 			link.toldNumber = this._table.changeNumber;
@@ -375,7 +375,7 @@
 		}
 	}
 
-	private _findLink(id: string, incarnation: number): PeerLink {
+	private _getLink(id: string, incarnation: number): PeerLink {
 		const held = this._links.get(id);
 		if (held?.incarnation === incarnation) {
 			return held;
--- a/src/controllers/gateway/source-reader.ts
+++ b/src/controllers/gateway/source-reader.ts
@@ -61,7 +61,7 @@
 const idleFailedPauseMs = 1000;
 const maxDoublings = 2;
 
-/** Reads configuration and targets from the site's registry: always on a few instances, on the others while nobody tells them. */
+/** Reads configuration and targets from the site's registry: on the reader always, on another instance when its own view gets old. */
 export class SourceReader implements DisposableLike {
 	private readonly _ending = new AbortController();
 	private readonly _readsAloneAt: number;
--- a/src/io/gateway/target-client.ts
+++ b/src/io/gateway/target-client.ts
@@ -41,7 +41,7 @@
 
 	/** Sends a request and resolves when the answer is whole or can no longer become so. */
 	async sendRequest(outgoing: OutgoingRequest): Promise<TargetExchange> {
-		this._limitConnections();
+		this._setConnectionLimit();
 		const {method, path, rawHeaders, body, signal} = outgoing;
 		const headers = body.length > 0 ? [...rawHeaders, 'content-length', String(body.length)] : [...rawHeaders];
 		const {host, port} = this._options;
@@ -64,7 +64,7 @@
 				isConnected = true;
 			});
 			request.on('error', fail);
-			this._limitInformational(request);
+			this._countInformational(request);
 			request.on('response', response => {
 				answer = response;
 				this._collectBody(response, resolve);
@@ -75,13 +75,13 @@
 
 	/** Sends a health check and resolves with the head of the answer; undefined when there is none in time. */
 	async sendProbe(path: string, hostHeader: string, timeoutMs: number): Promise<Pick<WholeAnswer, 'status' | 'rawHeaders'> | undefined> {
-		this._limitConnections();
+		this._setConnectionLimit();
 		const {host, port} = this._options;
 		return new Promise(resolve => {
 			const request = openRequest({
 				host, port, path, agent: this._agent, headers: {host: hostHeader},
 			});
-			this._limitInformational(request);
+			this._countInformational(request);
 			// Connections stay open by default, and bytes between failure domains are dear.
 			request.removeHeader('connection');
 			// A timer costs a tenth of an abort signal, and there are several probes a request.
@@ -109,13 +109,13 @@
 		this._agent.destroy();
 	}
 
-	private _limitConnections(): void {
+	private _setConnectionLimit(): void {
 		const maxConnections = this._options.getMaxConnections();
 		this._agent.maxSockets = maxConnections;
 		this._agent.maxFreeSockets = maxConnections;
 	}
 
-	private _limitInformational(request: ClientRequest): void {
+	private _countInformational(request: ClientRequest): void {
 		let count = 0;
 		request.on('information', () => {
 			count++;
--- a/src/policy/gateway/member-table.ts
+++ b/src/policy/gateway/member-table.ts
@@ -58,8 +58,8 @@
 			return false;
 		}
 
-		this._toggleDigest(held);
-		this._toggleDigest(member);
+		this._updateDigest(held);
+		this._updateDigest(member);
 		this._changeNumber++;
 		this._entries.set(member.id, {
 			member, changeNumber: this._changeNumber, changedAt: now, source,
@@ -105,7 +105,7 @@
 		}
 	}
 
-	private _toggleDigest(member: GatewayMember | undefined): void {
+	private _updateDigest(member: GatewayMember | undefined): void {
 		if (member?.state === MemberState.Running) {
 			this._digest = (this._digest ^ hashMember(member)) >>> 0; // eslint-disable-line no-bitwise
 		}
--- a/src/policy/gateway/target-table.ts
+++ b/src/policy/gateway/target-table.ts
@@ -50,7 +50,7 @@
 			}
 		}
 
-		this._complete(revision);
+		this._markComplete(revision);
 		return hasChanged;
 	}
 
@@ -84,7 +84,7 @@
 			}
 		}
 
-		this._complete(completeTo);
+		this._markComplete(completeTo);
 		return hasChanged;
 	}
 
@@ -102,7 +102,7 @@
 		return [...this._entries.keys()].filter(id => !listed.has(id)).map(id => [id, completeTo]);
 	}
 
-	private _complete(revision: number): void {
+	private _markComplete(revision: number): void {
 		this._completeTo = revision;
 		this._completions.delete(revision);
 		this._completions.add(revision);
