--- a/src/bin/data-listener.ts
+++ b/src/bin/data-listener.ts
@@ -1,11 +1,11 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
-import type {Clock} from '../common/clock.js';
 import type {DisposableLike} from '../common/disposable-like.js';
 import type {EntrySettings} from '../common/entry-settings.js';
 import {ErrorKind} from '../common/error-kind.js';
 import {RequestError} from '../common/request-error.js';
+import type {PauseWatch} from '../controllers/pause-watch.js';
 import {writeProblem} from '../filters/write-problem.js';
 import type {FilterChain} from '../filters/filter-chain.js';
 import {RequestContext} from '../filters/request-context.js';
@@ -16,7 +16,7 @@
 type DataListenerOptions = {
 	readonly limits: EntrySettings['limits'];
 	readonly chain: Pick<FilterChain, 'run'>;
-	readonly clock: Clock;
+	readonly arrivals: Pick<PauseWatch, 'estimateArrival'>;
 };
 
 /** Requests of one connection that may wait for their answers, which HTTP/1.1 returns in order. */
@@ -66,8 +66,8 @@
 	}
 
 	private _handleRequest(request: IncomingMessage, response: ServerResponse, isWaiting: boolean): void {
-		const {limits, chain, clock} = this._options;
-		const context = new RequestContext(request, response, clock.now());
+		const {limits, chain, arrivals} = this._options;
+		const context = new RequestContext(request, response, arrivals.estimateArrival());
 		const open = this._trackContext(context, request.socket);
 		const checked = checkRequestHead({method: request.method ?? '', target: request.url ?? '', rawHeaders: request.rawHeaders}, limits.bodyBytes);
 		if (checked.isErr()) {
--- a/src/bin/entry-daemon.ts
+++ b/src/bin/entry-daemon.ts
@@ -14,6 +14,7 @@
 import {KeyController} from '../controllers/key-controller.js';
 import {MembershipController} from '../controllers/membership-controller.js';
 import {PauseController} from '../controllers/pause-controller.js';
+import {PauseWatch} from '../controllers/pause-watch.js';
 import {PeerController} from '../controllers/peer-controller.js';
 import {RouteController} from '../controllers/route-controller.js';
 import {ShutdownController} from '../controllers/shutdown-controller.js';
@@ -79,6 +80,7 @@
 	private readonly _decisions: ReturnType<typeof createDecisions>;
 	private readonly _chain: FilterChain;
 	private readonly _keys: KeyController;
+	private readonly _pauseWatch: PauseWatch;
 	private readonly _pauses: PauseController;
 	private readonly _dataListener: DataListener;
 	private readonly _routeListener: HttpListener;
@@ -104,11 +106,12 @@
 		this._routes = this._store.add(new RouteController({
 			..._settings.routes, catalog: this._configuration, members: this._members, clock: systemClock, isListStale: () => this._fleet.isListStale,
 		}));
+		this._pauseWatch = this._store.add(new PauseWatch({clock: systemClock, logger: this._logger}));
 		this._pauses = this._store.add(this._createPauses());
 		this._shutdown = this._store.add(this._createShutdown());
 		this._decisions = this._createDecisions();
 		this._chain = this._createChain();
-		this._dataListener = this._store.add(new DataListener({limits: _settings.limits, chain: this._chain, clock: systemClock}));
+		this._dataListener = this._store.add(new DataListener({limits: _settings.limits, chain: this._chain, arrivals: this._pauseWatch}));
 		if (_settings.metrics.enabled) {
 			this._store.add(new ProcessMetrics(this._metrics, report => {
 				this._dataListener.listener.server.getConnections((_error, count) => {
@@ -168,7 +171,7 @@
 	}
 
 	private _createPauses(): PauseController {
-		const pauses = new PauseController({clock: systemClock, logger: this._logger, refreshView: async () => this._hearPeers()});
+		const pauses = new PauseController({watch: this._pauseWatch, refreshView: async () => this._hearPeers()});
 		this._store.add(pauses.onWoke(() => {
 			this._keys.distrustView();
 		}));
--- a/src/bin/gateway-daemon.ts
+++ b/src/bin/gateway-daemon.ts
@@ -18,6 +18,7 @@
 import {SiteView} from '../controllers/gateway/site-view.js';
 import {SourceReader} from '../controllers/gateway/source-reader.js';
 import {StateReporter} from '../controllers/gateway/state-reporter.js';
+import {PauseWatch} from '../controllers/pause-watch.js';
 import {ShutdownController} from '../controllers/shutdown-controller.js';
 import {FilterChain} from '../filters/filter-chain.js';
 import {AttemptRunner} from '../filters/gateway/attempt-runner.js';
@@ -68,6 +69,7 @@
 	private readonly _entries: EntryController;
 	private readonly _shutdown: ShutdownController;
 	private readonly _placement: PlacementController;
+	private readonly _pauseWatch: PauseWatch;
 	private readonly _chain: FilterChain<GatewayContext, WholeAnswer>;
 	private readonly _dataListener: HttpListener;
 	private readonly _readinessListener: HttpListener;
@@ -123,6 +125,7 @@
 		}));
 		this._entries = new EntryController({members: this._members, view: this._view, failureDomain: settings.instance.failureDomain});
 		this._shutdown = this._store.add(this._createShutdown());
+		this._pauseWatch = this._store.add(new PauseWatch({clock: systemClock, logger}));
 		this._placement = this._store.add(new PlacementController({
 			settings,
 			view: this._view,
@@ -252,7 +255,7 @@
 		const {headers} = this._options.site;
 		const listener = new HttpListener({noDelay: true, requireHostHeader: false}, (request, response) => {
 			const id = request.headers[headers.requestId];
-			void this._chain.run(new GatewayContext(request, response, systemClock.now(), typeof id === 'string' ? id : undefined));
+			void this._chain.run(new GatewayContext(request, response, this._pauseWatch.estimateArrival(), typeof id === 'string' ? id : undefined));
 		});
 		this._store.add(this._view.onConfiguration(({limits}) => {
 			const {server} = listener;
--- /dev/null
+++ b/src/controllers/pause-watch.ts
@@ -0,0 +1,76 @@
+import type {Clock} from '../common/clock.js';
+import type {DisposableLike} from '../common/disposable-like.js';
+import {Emitter} from '../common/emitter.js';
+import type {Logger} from '../common/logger.js';
+import {PauseDetector} from '../policy/pause-detector.js';
+
+type PauseWatchOptions = {
+	readonly clock: Clock;
+	readonly logger: Logger;
+};
+
+/** Interval between two looks at the clock, in ms; a pause seems longer than it was by this much at most. */
+const lookIntervalMs = 200;
+/** Gap between two looks that counts as a pause, in ms; above the interval and the longest stalls of a process that runs. */
+const thresholdMs = 500;
+/** Turns of the event loop in which all that waited in the kernel is read: one takes the connections, the next their requests. */
+const backlogTurns = 2;
+
+/** Notices that the process was paused, and tells how long what it reads just after the pause may have waited. */
+export class PauseWatch implements DisposableLike {
+	private readonly _detector: PauseDetector;
+	private readonly _timer: NodeJS.Timeout;
+	private readonly _onWoke = new Emitter<number>();
+	/** Start of the pause whose backlog is being read, undefined when there is none. */
+	private _pausedAt: number | undefined;
+	private _turnsLeft = 0;
+
+	constructor(private readonly _options: PauseWatchOptions) {
+		this._detector = new PauseDetector(thresholdMs, _options.clock.now());
+		this._timer = setInterval(() => {
+			this.checkPause();
+		}, lookIntervalMs).unref();
+	}
+
+	/** Fires with the length of a pause in ms, before any other work goes on. */
+	get onWoke() {
+		return this._onWoke.event;
+	}
+
+	/** Looks at the clock; work that may come before the next look by itself calls this first. */
+	checkPause(): void {
+		const now = this._options.clock.now();
+		const pausedMs = this._detector.update(now);
+		if (pausedMs === undefined) {
+			return;
+		}
+
+		this._options.logger.logInfo('woke-late', {pausedMs: Math.round(pausedMs)});
+		this._pausedAt ??= now - pausedMs;
+		this._turnsLeft = backlogTurns;
+		this._waitForBacklog();
+		this._onWoke.fire(pausedMs);
+	}
+
+	/** Earliest time at which a request that was read just now can have arrived, in ms on the clock. */
+	estimateArrival(): number {
+		this.checkPause();
+		return this._pausedAt ?? this._options.clock.now();
+	}
+
+	dispose(): void {
+		clearInterval(this._timer);
+		this._onWoke.dispose();
+	}
+
+	private _waitForBacklog(): void {
+		setImmediate(() => {
+			this._turnsLeft--;
+			if (this._turnsLeft > 0) {
+				this._waitForBacklog();
+			} else {
+				this._pausedAt = undefined;
+			}
+		});
+	}
+}
--- a/test/faults.test.ts
+++ b/test/faults.test.ts
@@ -82,4 +82,17 @@
 		const later = await sendMany('POST', 4);
 		expect(later.map(item => item.status)).toEqual([200, 200, 200, 200]);
 	});
+
+	it('tells "not run" of orders that expired unread in a pause, and dispatches none of them', async () => {
+		const before = [...site.targets.values()].flatMap(target => target.records).length;
+		site.entries[0]?.sendSignal('SIGSTOP');
+		const sent = sendMany('POST', 20, {'x-request-timeout-ms': '700'});
+		await sleep(1200);
+		site.entries[0]?.sendSignal('SIGCONT');
+		const told = await sent;
+		expect([...site.targets.values()].flatMap(target => target.records)).toHaveLength(before);
+		expect(new Set(told.map(item => item.outcome ?? item.status))).toEqual(new Set(['not run']));
+		const later = await sendMany('POST', 4);
+		expect(later.map(item => item.status)).toEqual([200, 200, 200, 200]);
+	});
 });
