--- a/src/bin/gateway-daemon.ts
+++ b/src/bin/gateway-daemon.ts
@@ -5,7 +5,6 @@
 import {
 	err, fromPromise, ok, type Result,
 } from 'neverthrow';
-import {createHTTPHandler} from '@trpc/server/adapters/standalone';
 import type {DisposableLike} from '../common/disposable-like.js';
 import {DisposableStore} from '../common/disposable-store.js';
 import type {GatewaySettings} from '../common/gateway/gateway-settings.js';
@@ -34,6 +33,7 @@
 import {ShutdownFilter} from '../filters/shutdown-filter.js';
 import {BoundedLogger} from '../io/gateway/bounded-logger.js';
 import {ByteMeter} from '../io/gateway/byte-meter.js';
+import {createCallHandler} from '../io/gateway/create-call-handler.js';
 import {createSyncRouter} from '../io/gateway/create-sync-router.js';
 import {renderMetrics} from '../io/gateway/render-metrics.js';
 import {ScrapedMetrics} from '../io/gateway/scraped-metrics.js';
@@ -149,9 +149,9 @@
 		this._routeListener = this._store.add(new HttpListener({}, (request, response) => {
 			this._answerQuestion(request, response);
 		}));
-		const handler = createHTTPHandler({router: createSyncRouter(this._members)});
+		const handleCall = createCallHandler(createSyncRouter(this._members));
 		this._peerListener = this._store.add(new HttpListener({keepAliveTimeout: 30_000}, (request, response) => {
-			handler(request, response);
+			void handleCall(request, response);
 		}));
 		this._peerListener.server.on('connection', (socket: Socket) => {
 			this._peerMeter.add(socket);
--- /dev/null
+++ b/src/io/gateway/create-call-handler.test.ts
@@ -0,0 +1,57 @@
+import {
+	afterAll, beforeAll, describe, expect, it,
+} from 'vitest';
+import {fromPromise} from 'neverthrow';
+import {request} from 'undici';
+import {HttpListener} from '../http-listener.js';
+import {createCallHandler} from './create-call-handler.js';
+import {createSyncRouter} from './create-sync-router.js';
+
+const envelope = JSON.stringify({from: 'a', members: [], view: {}});
+
+describe('createCallHandler', () => {
+	const handleCall = createCallHandler(createSyncRouter({
+		handleMessage(message) {
+			if (message.from === 'broken') {
+				throw new Error('broken');
+			}
+
+			return {...message, from: 'b'};
+		},
+		getConfiguration: () => undefined,
+	}));
+	const listener = new HttpListener({}, (incoming, response) => {
+		void handleCall(incoming, response);
+	});
+
+	beforeAll(async () => {
+		const listened = await listener.listen({host: '127.0.0.1', port: 0});
+		expect(listened.isOk()).toBe(true);
+	});
+	afterAll(() => {
+		listener.dispose();
+	});
+
+	const send = async (path: string, input: string): Promise<{status: number; body: unknown}> => {
+		const {statusCode, body} = await request(`http://127.0.0.1:${listener.port}/${path}`, {method: 'POST', body: input, headers: {'content-type': 'application/json'}});
+		const answer: unknown = await body.json();
+		return {status: statusCode, body: answer};
+	};
+
+	it.each([
+		['sync', envelope, 200, {result: {data: {from: 'b'}}}],
+		['configuration', '3', 200, {result: {}}],
+		['none', envelope, 404, {error: {data: {code: 'NOT_FOUND'}}}],
+		['sync', '{"from":', 400, {error: {data: {code: 'PARSE_ERROR'}}}],
+		['sync', '{}', 400, {error: {message: 'a message needs from, members and view'}}],
+		['sync', '{"from":"broken","members":[],"view":{}}', 500, {error: {message: 'broken'}}],
+	])('answers a call of %s with input %s by %i', async (path, body, status, answer) => {
+		expect(await send(path, body)).toMatchObject({status, body: answer});
+	});
+
+	it('ends a call whose input is too long, by an answer or a reset', async () => {
+		const ended = await fromPromise(send('sync', 'x'.repeat(9 * 1024 * 1024)), error => error as Error);
+		expect(ended.isErr() || ended.value.status === 413).toBe(true);
+		expect(await send('sync', envelope)).toMatchObject({status: 200});
+	});
+});
--- a/src/io/gateway/sync-client.test.ts
+++ b/src/io/gateway/sync-client.test.ts
@@ -1,4 +1,3 @@
-import {createHTTPHandler} from '@trpc/server/adapters/standalone';
 import {
 	afterEach, describe, expect, it,
 } from 'vitest';
@@ -9,6 +8,7 @@
 import {disabledMetrics} from '../disabled-metrics.js';
 import {HttpListener} from '../http-listener.js';
 import {ByteMeter} from './byte-meter.js';
+import {createCallHandler} from './create-call-handler.js';
 import {createSyncRouter} from './create-sync-router.js';
 import {SyncClient} from './sync-client.js';
 
@@ -41,13 +41,11 @@
 describe('SyncClient', () => {
 	const meter = new ByteMeter();
 	const listener = new HttpListener({}, (request, response) => {
-		handler(request, response);
+		void handleCall(request, response);
 	});
 	const client = new SyncClient(meter, disabledMetrics);
 	let published: PublishedConfiguration | undefined;
-	const handler = createHTTPHandler({
-		router: createSyncRouter({handleMessage: taken => ({...taken, from: 'b'}), getConfiguration: () => published}),
-	});
+	const handleCall = createCallHandler(createSyncRouter({handleMessage: taken => ({...taken, from: 'b'}), getConfiguration: () => published}));
 
 	const listen = async (): Promise<string> => {
 		const listened = await listener.listen({host: '127.0.0.1', port: 0});
--- a/src/io/gateway/sync-client.ts
+++ b/src/io/gateway/sync-client.ts
@@ -1,14 +1,14 @@
-import {createTRPCClient, httpLink, type TRPCClient} from '@trpc/client';
+import {createTRPCClient, type TRPCClient} from '@trpc/client';
 import {fromPromise, ok, type Result} from 'neverthrow';
 import type {DisposableLike} from '../../common/disposable-like.js';
 import type {PublishedConfiguration} from '../../common/gateway/published-configuration.js';
 import type {SyncMessage} from '../../common/gateway/sync-message.js';
 import type {Metrics} from '../../common/metrics.js';
 import type {ByteMeter} from './byte-meter.js';
+import {createCallLink} from './create-call-link.js';
 import {decodeMember} from './decode-member.js';
 import {encodeMember} from './encode-member.js';
 import {MeteredAgent} from './metered-agent.js';
-import {sendJson} from './send-json.js';
 import type {SyncRouter} from './sync-router.js';
 import {unpackConfiguration} from './unpack-configuration.js';
 
@@ -50,15 +50,7 @@
 	private _getClient(peerAddress: string): TRPCClient<SyncRouter> {
 		let client = this._clients.get(peerAddress);
 		if (client === undefined) {
-			client = createTRPCClient<SyncRouter>({
-				links: [httpLink({
-					url: `http://${peerAddress}`,
-					// The global fetch would load a second HTTP client into every process.
-					fetch: async (url, options) => sendJson(String(url), {
-						method: options?.method ?? 'POST', body: options?.body as string, agent: this._agent, timeoutMs: this.timeoutMs,
-					}),
-				})],
-			});
+			client = createTRPCClient<SyncRouter>({links: [createCallLink({peerAddress, agent: this._agent, timeoutMs: this.timeoutMs})]});
 			this._clients.set(peerAddress, client);
 		}
 
