--- a/tools/standins/platform/platform-replica.ts
+++ b/tools/standins/platform/platform-replica.ts
@@ -6,6 +6,7 @@
 import {SecondCounter} from '../second-counter.js';
 import {PlatformOutage} from './platform-outage.js';
 import type {PlatformStore} from './platform-store.js';
+import type {ViewPoint} from './view-point.js';
 
 type Waiter = {readonly check: () => boolean; readonly timer: NodeJS.Timeout};
 type Query = {readonly key: string; readonly isList: boolean; readonly index: number; readonly waitMs: number};
@@ -40,7 +41,8 @@
 	private _port = 0;
 	private _outage = PlatformOutage.None;
 	private _lagMs = 0;
-	private _frozenAt: number | undefined;
+	/** What a replica that stands still shows; two publications may fall into the same ms, so that a time alone would not do. */
+	private _frozenView: ViewPoint | undefined;
 	private _lagTimer: NodeJS.Timeout | undefined;
 
 	/**
@@ -83,7 +85,7 @@
 
 	/** Stands still at the present state, or goes on. */
 	setFrozen(isFrozen: boolean): void {
-		this._frozenAt = isFrozen ? this._frozenAt ?? this._getViewTime() : undefined;
+		this._frozenView = isFrozen ? this._getView() : undefined;
 		this._notifyWaiters();
 	}
 
@@ -175,29 +177,29 @@
 		}
 	}
 
-	private _getViewTime(): number {
-		return this._frozenAt ?? Date.now() - this._lagMs;
+	private _getView(): ViewPoint {
+		return this._frozenView ?? {at: Date.now() - this._lagMs, index: this._values.index};
 	}
 
 	private _getIndex({key, isList}: Query): number {
-		const views = isList ? this._values.listValues(key, this._getViewTime()) : [this._values.getValue(key, this._getViewTime())];
+		const views = isList ? this._values.listValues(key, this._getView()) : [this._values.getValue(key, this._getView())];
 		return Math.max(1, ...views.map(view => view?.modifyIndex ?? 1));
 	}
 
 	private _respond(query: Query, response: ServerResponse): void {
-		const at = this._getViewTime();
+		const view = this._getView();
 		if (query.isList) {
-			const keys = this._values.listValues(query.key, at).map(view => view.key);
+			const keys = this._values.listValues(query.key, view).map(({key}) => key);
 			this._write(response, this._getIndex(query), keys.length === 0 ? undefined : keys);
 			return;
 		}
 
-		const view = this._values.getValue(query.key, at);
-		this._write(response, this._getIndex(query), view === undefined
+		const value = this._values.getValue(query.key, view);
+		this._write(response, this._getIndex(query), value === undefined
 			? undefined
 			: [{
 				// eslint-disable-next-line @typescript-eslint/naming-convention
-				Key: view.key, Value: Buffer.from(view.text).toString('base64'), ModifyIndex: view.modifyIndex, CreateIndex: view.modifyIndex, LockIndex: 0, Flags: 0,
+				Key: value.key, Value: Buffer.from(value.text).toString('base64'), ModifyIndex: value.modifyIndex, CreateIndex: value.modifyIndex, LockIndex: 0, Flags: 0,
 			}]);
 	}
 
--- a/tools/standins/platform/platform-store.ts
+++ b/tools/standins/platform/platform-store.ts
@@ -1,6 +1,8 @@
 import {Emitter} from '../../../src/common/emitter.js';
+import type {ViewPoint} from './view-point.js';
 
 type Version = {readonly text: string; readonly modifyIndex: number; readonly publishedAt: number};
+
 type View = {readonly key: string; readonly text: string; readonly modifyIndex: number};
 
 /** Every version of every published value, so that a replica can answer from the past. */
@@ -14,6 +16,11 @@
 		return this._onPublished.event;
 	}
 
+	/** Index of the last publication. */
+	get index(): number {
+		return this._index;
+	}
+
 	/** Publishes a value at a time in ms. */
 	publish(key: string, text: string, now: number): void {
 		this._index++;
@@ -23,14 +30,14 @@
 		this._onPublished.fire();
 	}
 
-	/** Gets a value as it was at a time in ms. */
-	getValue(key: string, at: number): View | undefined {
-		const version = this._versions.get(key)?.findLast(item => item.publishedAt <= at);
+	/** Gets a value as it was at a time in ms, without publications after an index. */
+	getValue(key: string, {at, index}: ViewPoint): View | undefined {
+		const version = this._versions.get(key)?.findLast(item => item.publishedAt <= at && item.modifyIndex <= index);
 		return version === undefined ? undefined : {key, text: version.text, modifyIndex: version.modifyIndex};
 	}
 
-	/** Lists the values below a prefix as they were at a time in ms. */
-	listValues(prefix: string, at: number): readonly View[] {
-		return [...this._versions.keys()].filter(key => key.startsWith(prefix)).flatMap(key => this.getValue(key, at) ?? []);
+	/** Lists the values below a prefix as they were at a time in ms, without publications after an index. */
+	listValues(prefix: string, point: ViewPoint): readonly View[] {
+		return [...this._versions.keys()].filter(key => key.startsWith(prefix)).flatMap(key => this.getValue(key, point) ?? []);
 	}
 }
--- a/tools/standins/platform/stand-in-platform.test.ts
+++ b/tools/standins/platform/stand-in-platform.test.ts
@@ -48,6 +48,12 @@
 		expect(platform.calls.total).toBe(3);
 	});
 
+	it('shows nothing of what is published in the same ms in which it was frozen', async () => {
+		platform.primary.setFrozen(true);
+		platform.publishValue('key', 'two');
+		expect(await read()).toBe('one');
+	});
+
 	it('answers the past when frozen or lagging', async () => {
 		await sleep(5);
 		platform.primary.setFrozen(true);
