--- a/src/controllers/gateway/member-controller.ts
+++ b/src/controllers/gateway/member-controller.ts
@@ -9,9 +9,9 @@
 import type {SyncMessage} from '../../common/gateway/sync-message.js';
 import type {Logger} from '../../common/logger.js';
 import type {SyncClient} from '../../io/gateway/sync-client.js';
-import {chooseNeighbours} from '../../policy/gateway/choose-neighbours.js';
 import {listReaders} from '../../policy/gateway/list-readers.js';
 import {MemberTable} from '../../policy/gateway/member-table.js';
+import {NeighbourChooser} from '../../policy/gateway/neighbour-chooser.js';
 import {updateOwnRecord} from '../../policy/gateway/update-own-record.js';
 import {ConfigurationFetcher} from './configuration-fetcher.js';
 import {createPeerLink} from './create-peer-link.js';
@@ -59,6 +59,7 @@
 */
 export class MemberController implements DisposableLike {
 	private readonly _table = new MemberTable();
+	private readonly _chooser: NeighbourChooser;
 	private readonly _links = new Map<string, PeerLink>();
 	private readonly _fetcher: ConfigurationFetcher;
 	private _seeds: readonly string[];
@@ -76,6 +77,7 @@
 		this._table.offer({
 			...self, revision: 0, state: MemberState.Running, isServing: false, canRead: true,
 		}, self.id, _options.clock.now());
+		this._chooser = new NeighbourChooser(self);
 		this._seeds = _options.seeds;
 		this._fetcher = new ConfigurationFetcher({..._options, listHolders: version => this._listHolders(version)});
 		view.onNews(() => {
@@ -199,7 +201,7 @@
 		if (this._orderedAt !== this._table.changeNumber) {
 			this._orderedAt = this._table.changeNumber;
 			const running = this._table.listRunning();
-			this._neighbours = chooseNeighbours(running, this._options.self.id);
+			this._neighbours = this._chooser.chooseNeighbours(running);
 			this._readers = listReaders(running);
 			this._localCount = this._table.countPossible(this._options.self.failureDomain);
 		}
