--- /dev/null
+++ b/src/controllers/load-feed.test.ts
@@ -0,0 +1,82 @@
+import {
+	afterEach, beforeEach, describe, expect, it, vi,
+} from 'vitest';
+import type {ShareMessage} from '../common/share-message.js';
+import {ByteBudget} from '../policy/schedule/byte-budget.js';
+import {LoadFeed} from './load-feed.js';
+
+const service = 's';
+const intervalMs = 10;
+
+/** The next message if there is one by now. */
+const takeIfReady = async (next: Promise<IteratorResult<ShareMessage, void>>): Promise<ShareMessage | undefined> => {
+	const result = await Promise.race([next, Promise.resolve(undefined)]);
+	return result?.value ?? undefined;
+};
+
+describe('LoadFeed', () => {
+	const counts = new Map<string, number>();
+	const getState = (_service: string, targetId: string) => {
+		const inFlight = counts.get(targetId);
+		return inFlight === undefined
+			? undefined
+			: {
+				isFull: inFlight >= 2,
+				share: {
+					service, targetId, inFlight, longInFlight: 0, shortMs: 0, isDraining: false,
+				},
+			};
+	};
+
+	const createFeed = () => new LoadFeed({
+		clock: {now: () => Date.now()},
+		intervalMs,
+		budget: new ByteBudget(1_000_000),
+		listStates: () => [...counts.keys()].flatMap(id => getState(service, id) ?? []),
+		getState,
+	});
+
+	beforeEach(() => {
+		vi.useFakeTimers();
+		counts.clear();
+	});
+	afterEach(() => {
+		vi.useRealTimers();
+	});
+
+	/** Starts a feed, changes the count of a target once it has told its first state, and returns the next message. */
+	const readAfterChange = async (first: readonly string[], changed: string, inFlight: number) => {
+		for (const id of first) {
+			counts.set(id, 0);
+		}
+
+		const feed = createFeed();
+		const messages = feed.listMessages(undefined);
+		await messages.next();
+		counts.set(changed, inFlight);
+		const next = messages.next();
+		feed.markChanged(service, changed);
+		await vi.advanceTimersByTimeAsync(intervalMs + 1);
+		return takeIfReady(next);
+	};
+
+	it('tells a change of a known target that is full within the interval', async () => {
+		expect(await readAfterChange(['t-1', 't-2'], 't-2', 2)).toEqual({kind: 'changes', changes: [[1, 2, 0, 0, 0]]});
+	});
+
+	it('tells the count of a target that was listed after the first state, within the interval', async () => {
+		const message = await readAfterChange(['t-1'], 't-2', 1);
+		expect(message).toMatchObject({kind: 'whole', targets: [{targetId: 't-1', inFlight: 0}, {targetId: 't-2', inFlight: 1}]});
+	});
+
+	it('tells nothing of a target that the receiver did not ask for', async () => {
+		counts.set('t-1', 0);
+		const feed = createFeed();
+		const messages = feed.listMessages(undefined);
+		await messages.next();
+		const next = messages.next();
+		feed.markChanged(service, 't-9');
+		await vi.advanceTimersByTimeAsync(intervalMs + 1);
+		expect(await takeIfReady(next)).toBeUndefined();
+	});
+});
--- a/src/controllers/load-feed.ts
+++ b/src/controllers/load-feed.ts
@@ -50,7 +50,15 @@
 		const key = createKey(service, targetId);
 		const sent = this._sent.get(key);
 		const state = this._options.getState(service, targetId);
-		if (sent === undefined || state === undefined) {
+		if (state === undefined) {
+			return;
+		}
+
+		if (sent === undefined) {
+			// The receiver numbers targets by the last whole state, which came before this one.
+			this._messagesLeft = 0;
+			this._isUrgent = true;
+			this._schedule();
 			return;
 		}
 
