--- a/tools/load/experiments/experiment-registry.ts
+++ b/tools/load/experiments/experiment-registry.ts
@@ -5,6 +5,7 @@
 import {faultsExperiment} from './faults.js';
 import {misleadExperiment} from './mislead.js';
 import {overheadExperiment} from './overhead.js';
+import {peerCallsExperiment} from './peer-calls.js';
 import {probeCostExperiment} from './probe-cost.js';
 import {slopesExperiment} from './slopes.js';
 import {tailExperiment} from './tail.js';
@@ -20,4 +21,5 @@
 	faultsExperiment,
 	disseminationExperiment,
 	slopesExperiment,
+	peerCallsExperiment,
 ];
--- /dev/null
+++ b/tools/load/experiments/peer-calls.ts
@@ -0,0 +1,89 @@
+import process from 'node:process';
+import {createHTTPHandler} from '@trpc/server/adapters/standalone';
+import {MemberState} from '../../../src/common/gateway/member-state.js';
+import type {SyncMessage} from '../../../src/common/gateway/sync-message.js';
+import {disabledMetrics} from '../../../src/io/disabled-metrics.js';
+import {ByteMeter} from '../../../src/io/gateway/byte-meter.js';
+import {createCallHandler} from '../../../src/io/gateway/create-call-handler.js';
+import {createSyncRouter} from '../../../src/io/gateway/create-sync-router.js';
+import {SyncClient} from '../../../src/io/gateway/sync-client.js';
+import {HttpListener} from '../../../src/io/http-listener.js';
+import type {ExperimentContext} from '../experiment-context.js';
+import type {Experiment} from '../experiment.js';
+import type {ArmResult} from '../report/arm-result.js';
+import {createCheck} from '../report/create-check.js';
+
+/** Links of an instance, two on each of three rings, on each of which one side calls the other once a second. */
+const links = 6;
+/** Processor time that control may take, in ms a second: 1.7% of a core. */
+const budgetMs = 17;
+/** Calls of an instance's first half minute, and those that are measured. */
+const warmUpCalls = 200;
+const measuredCalls = 2000;
+
+const message: SyncMessage = {
+	from: 'i-1',
+	incarnation: 1,
+	changeNumber: 12,
+	takenNumber: 12,
+	digest: 4,
+	members: [{
+		id: 'i-1', failureDomain: 'd', dataAddress: '10.0.0.1:1', peerAddress: '10.0.0.1:2', cores: 1, incarnation: 1, revision: 5, state: MemberState.Running, isServing: true, canRead: true,
+	}],
+	view: {
+		configuration: 3, configurationAgeMs: 10, targets: 7, targetsAgeMs: 20,
+	},
+};
+
+type Handler = ReturnType<typeof createCallHandler> | ReturnType<typeof createHTTPHandler>;
+
+const router = createSyncRouter({handleMessage: taken => taken, getConfiguration: () => undefined});
+
+const createHandlerListener = (handle: Handler) => new HttpListener({keepAliveTimeout: 30_000}, (request, response) => {
+	void handle(request, response);
+});
+
+/** Measures the processor time of a call, caller's and answerer's side together, in ms. */
+const measureCall = async (context: ExperimentContext, handler: Handler): Promise<number> => {
+	const listener = context.store.add(createHandlerListener(handler));
+	const listened = await listener.listen({host: '127.0.0.1', port: 0});
+	if (listened.isErr()) {
+		throw listened.error;
+	}
+
+	const client = context.store.add(new SyncClient(new ByteMeter(), disabledMetrics));
+	const callMany = async (count: number) => {
+		for (let call = 0; call < count; call++) {
+			const exchanged = await client.exchange(`127.0.0.1:${listener.port}`, message);
+			if (exchanged.isErr()) {
+				throw exchanged.error;
+			}
+		}
+	};
+
+	await callMany(warmUpCalls);
+	const before = process.cpuUsage();
+	await callMany(measuredCalls);
+	const used = process.cpuUsage(before);
+	return (used.user + used.system) / 1000 / measuredCalls;
+};
+
+/** What calls between gateways cost. */
+export const peerCallsExperiment: Experiment = {
+	name: 'peer-calls',
+	description: 'Processor time of a call between gateways, by their own handler and by the one of the library, against the budget for control',
+	async run(context) {
+		const arms: ArmResult[] = [];
+		for (const [name, handler] of [['gateway', createCallHandler(router)], ['library', createHTTPHandler({router})]] as const) {
+			arms.push({name, callMs: await measureCall(context, handler)});
+			context.log(`${name}: measured`);
+		}
+
+		const [own] = arms;
+		return {
+			arms,
+			checks: [createCheck('gateway: processor time of one call a second on each link, one side of each', {atMost: budgetMs, unit: 'ms/s'}, Number(own?.callMs) * links / 2)],
+			notes: [`${measuredCalls} calls after ${warmUpCalls} on one connection, with one member's record each; both sides are in one process.`],
+		};
+	},
+};
