--- a/src/controllers/pause-watch.test.ts
+++ b/src/controllers/pause-watch.test.ts
@@ -54,4 +54,13 @@
 		await waitForTurn();
 		expect(watch.estimateArrival()).toBe(1210);
 	});
+
+	it('gives the backlog of a second pause two turns of its own', async () => {
+		now = 1200;
+		watch.checkPause();
+		now = 1800;
+		watch.checkPause();
+		await waitForTurn();
+		expect(watch.estimateArrival()).toBe(0);
+	});
 });
