--- a/src/policy/gateway/neighbour-chooser.ts
+++ b/src/policy/gateway/neighbour-chooser.ts
@@ -30,6 +30,7 @@
 	for (const {member, positions} of others) {
 		const position = positions[ring] ?? own;
 		const isAfterOwn = isBefore(own, position);
+		// Next is the first of those after the own position, or of all when there is none; previous is the last of those before it, or of all.
 		if (next === undefined || (isAfterOwn === isBefore(own, nextPosition) ? isBefore(position, nextPosition) : isAfterOwn)) {
 			next = member;
 			nextPosition = position;
