--- /dev/null
+++ b/src/bin/caller-listener.ts
@@ -0,0 +1,72 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Duplex} from 'node:stream';
+import type {DisposableLike} from '../common/disposable-like.js';
+import type {BufferedResponse} from '../common/gateway/buffered-response.js';
+import type {GatewayLimits} from '../common/gateway/gateway-limits.js';
+import type {CallerConnections} from '../controllers/caller-connections.js';
+import type {IntakeController} from '../controllers/gateway/intake-controller.js';
+import type {PauseWatch} from '../controllers/pause-watch.js';
+import type {SocketReadTracker} from '../controllers/socket-read-tracker.js';
+import type {FilterChain} from '../filters/filter-chain.js';
+import {GatewayContext} from '../filters/gateway/gateway-context.js';
+import {HttpListener} from '../io/http-listener.js';
+
+type CallerListenerOptions = {
+	readonly chain: Pick<FilterChain<GatewayContext, BufferedResponse>, 'run'>;
+	readonly connections: CallerConnections;
+	readonly intake: Pick<IntakeController, 'noteConnection'>;
+	readonly pauseWatch: Pick<PauseWatch, 'estimateArrival'>;
+	readonly readTracker: Pick<SocketReadTracker, 'recordRead'>;
+	/** Name of the header with the id that the caller gave this attempt of its request, in lower case. */
+	readonly requestIdHeader: string;
+};
+
+/** Interval at which connections are checked for headers that arrive too slowly, in ms. */
+const connectionCheckMs = 1000;
+
+/** Listens for the requests of a gateway's callers and passes them to the filter chain. */
+export class CallerListener implements DisposableLike {
+	readonly listener: HttpListener;
+
+	constructor(private readonly _options: CallerListenerOptions) {
+		const {connections, intake} = _options;
+		this.listener = new HttpListener({noDelay: true, requireHostHeader: false, connectionsCheckingInterval: connectionCheckMs}, (request, response) => {
+			this._handleRequest(request, response);
+		});
+		const {server} = this.listener;
+		server.on('connection', () => {
+			intake.noteConnection();
+		});
+		server.on('clientError', (error: NodeJS.ErrnoException, socket: Duplex) => {
+			connections.handleClientError(error, socket);
+		});
+	}
+
+	/** Applies the time limits for the requests and idle connections of callers. */
+	setLimits({idleTimeoutMs, headersTimeoutMs}: GatewayLimits): void {
+		const {server} = this.listener;
+		server.keepAliveTimeout = idleTimeoutMs;
+		server.headersTimeout = headersTimeoutMs;
+	}
+
+	/** Stops accepting connections and closes those without a request in progress. */
+	closeIdle(): void {
+		const {server} = this.listener;
+		server.close();
+		server.closeIdleConnections();
+	}
+
+	dispose(): void {
+		this.listener.dispose();
+	}
+
+	private _handleRequest(request: IncomingMessage, response: ServerResponse): void {
+		const {chain, connections, pauseWatch, readTracker, requestIdHeader} = this._options;
+		const id = request.headers[requestIdHeader];
+		const arrival = {receivedAt: pauseWatch.estimateArrival(), readAt: readTracker.recordRead()};
+		const context = new GatewayContext(request, response, arrival, typeof id === 'string' ? id : undefined);
+		if (connections.add(context)) {
+			void chain.run(context);
+		}
+	}
+}
--- a/src/bin/entry-daemon.ts
+++ b/src/bin/entry-daemon.ts
@@ -7,6 +7,7 @@
 import type {Instance} from '../common/instance.js';
 import type {Metrics} from '../common/metrics.js';
 import type {ServiceSpec} from '../common/service-spec.js';
+import {CallerConnections} from '../controllers/caller-connections.js';
 import {ConfigurationController} from '../controllers/configuration-controller.js';
 import {ConnectionController} from '../controllers/connection-controller.js';
 import {FleetController} from '../controllers/fleet-controller.js';
@@ -86,6 +87,7 @@
 	private readonly _pauseWatch: PauseWatch;
 	private readonly _pauseController: PauseController;
 	private readonly _readTracker = new SocketReadTracker(systemClock);
+	private readonly _connections = new CallerConnections();
 	private readonly _dataListener: DataListener;
 	private readonly _routeListener: HttpListener;
 	private readonly _operatorListener: HttpListener;
@@ -116,7 +118,7 @@
 		this._decisions = this._createDecisions();
 		this._chain = this._createChain();
 		this._dataListener = this._store.add(new DataListener({
-			limits: _settings.limits, chain: this._chain, pauseWatch: this._pauseWatch, readTracker: this._readTracker,
+			limits: _settings.limits, chain: this._chain, connections: this._connections, pauseWatch: this._pauseWatch, readTracker: this._readTracker,
 		}));
 		if (_settings.metrics.enabled) {
 			this._store.add(new ProcessMetrics(this._metrics, report => {
@@ -232,7 +234,7 @@
 		const getConnectionLimit = (service: ServiceSpec) => computeConnectionShare(service.connectionsPerTarget, this._members.maxInstances);
 		return new FilterChain([
 			...createObservabilityFilters(this._settings, this._metrics, this._store),
-			new ShutdownFilter(this._shutdown),
+			new ShutdownFilter({shutdown: this._shutdown, connections: this._connections}),
 			new SendResponseFilter(),
 			new OutcomeFilter(),
 			new ClassifyFilter(this._configuration),
--- a/src/bin/gateway-daemon.ts
+++ b/src/bin/gateway-daemon.ts
@@ -11,6 +11,7 @@
 import type {SiteInterface} from '../common/gateway/site-interface.js';
 import type {BufferedResponse} from '../common/gateway/buffered-response.js';
 import type {Logger} from '../common/logger.js';
+import {CallerConnections} from '../controllers/caller-connections.js';
 import {EntryController} from '../controllers/gateway/entry-controller.js';
 import {IntakeController} from '../controllers/gateway/intake-controller.js';
 import {MemberController} from '../controllers/gateway/member-controller.js';
@@ -25,10 +26,11 @@
 import {FilterChain} from '../filters/filter-chain.js';
 import {AttemptRunner} from '../filters/gateway/attempt-runner.js';
 import {BodyFilter} from '../filters/gateway/body-filter.js';
-import {GatewayContext} from '../filters/gateway/gateway-context.js';
+import type {GatewayContext} from '../filters/gateway/gateway-context.js';
 import {IntakeFilter} from '../filters/gateway/intake-filter.js';
 import {LogFilter} from '../filters/gateway/log-filter.js';
 import {MeasureFilter} from '../filters/gateway/measure-filter.js';
+import {PipelineFilter} from '../filters/gateway/pipeline-filter.js';
 import {RetryFilter} from '../filters/gateway/retry-filter.js';
 import {RouteFilter} from '../filters/gateway/route-filter.js';
 import {SendResponseFilter} from '../filters/gateway/send-response-filter.js';
@@ -49,6 +51,8 @@
 import {systemClock} from '../io/system-clock.js';
 import {addressTtlMs} from '../policy/gateway/address-ttl-ms.js';
 import {FleetShare} from '../policy/gateway/fleet-share.js';
+import {HeldBytes} from '../policy/gateway/held-bytes.js';
+import {CallerListener} from './caller-listener.js';
 
 type GatewayDaemonOptions = {
 	readonly settings: GatewaySettings;
@@ -60,6 +64,8 @@
 const notableLinesPerSecond = 50;
 /** Log lines per second for all other requests. */
 const ordinaryLinesPerSecond = 5;
+/** The bodies of all requests in progress may take the memory limit divided by this, beside heap, responses and sockets. */
+const bodyMemoryDivisor = 8;
 /** Time left in a graceful shutdown after the last responses are flushed, in ms: for notifying the peers and for timers that fire late under load. */
 const stopReserveMs = 300;
 /** Time for which callers may still use cached addresses that include this instance after a shutdown is announced, in ms: three TTLs. */
@@ -81,7 +87,8 @@
 	private readonly _readTracker = new SocketReadTracker(systemClock);
 	private readonly _intake: IntakeController;
 	private readonly _chain: FilterChain<GatewayContext, BufferedResponse>;
-	private readonly _dataListener: HttpListener;
+	private readonly _connections = new CallerConnections();
+	private readonly _callerListener: CallerListener;
 	private readonly _readinessListener: HttpListener;
 	private readonly _routeListener: HttpListener;
 	private readonly _peerListener: HttpListener;
@@ -102,7 +109,7 @@
 				incarnation: Date.now(),
 			},
 			seeds: settings.seeds,
-			client: this._store.add(new SyncClient(this._peerMeter, this._metrics)),
+			client: this._store.add(new SyncClient(this._peerMeter, this._metrics, logger)),
 			view: this._view,
 			clock: systemClock,
 			random: Math.random,
@@ -153,14 +160,14 @@
 		}));
 		this._intake = this._store.add(new IntakeController({clock: systemClock, random: Math.random, metrics: this._metrics}));
 		this._chain = this._createChain();
-		this._dataListener = this._store.add(this._createDataListener());
+		this._callerListener = this._store.add(this._createCallerListener());
 		this._readinessListener = this._store.add(new HttpListener({}, (request, response) => {
 			this._handleReadiness(request, response);
 		}));
 		this._routeListener = this._store.add(new HttpListener({}, (request, response) => {
 			this._handleResolve(request, response);
 		}));
-		const handlePeerCall = createCallHandler(createSyncRouter(this._members));
+		const handlePeerCall = createCallHandler(createSyncRouter(this._members, logger));
 		this._peerListener = this._store.add(new HttpListener({keepAliveTimeout: 30_000}, (request, response) => {
 			void handlePeerCall(request, response);
 		}));
@@ -176,7 +183,7 @@
 	async start(): Promise<Result<void, Error>> {
 		const {listeners} = this._options.settings;
 		const results = await Promise.all([
-			this._dataListener.listen(parseAddress(listeners.data)),
+			this._callerListener.listener.listen(parseAddress(listeners.data)),
 			this._readinessListener.listen(parseAddress(listeners.readiness)),
 			this._routeListener.listen(parseAddress(listeners.route)),
 			this._peerListener.listen(parseAddress(listeners.peer)),
@@ -232,9 +239,7 @@
 				this._updateServing();
 			},
 			closeIdle: () => {
-				const {server} = this._dataListener;
-				server.close();
-				server.closeIdleConnections();
+				this._callerListener.closeIdle();
 			},
 			servingMs: Math.min(cachedAddressesMs, limitMs / 2),
 			limitMs,
@@ -247,7 +252,7 @@
 		const {site, logger} = this._options;
 		const callerCheck = new CallerCheck({readTracker: this._readTracker, clock: systemClock});
 		return new FilterChain<GatewayContext, BufferedResponse>([
-			new ShutdownFilter(this._shutdown),
+			new ShutdownFilter({shutdown: this._shutdown, connections: this._connections}),
 			new LogFilter({
 				notable: new RateLimitedLogger({logger, clock: systemClock, linesPerSecond: notableLinesPerSecond}),
 				ordinary: new RateLimitedLogger({logger, clock: systemClock, linesPerSecond: ordinaryLinesPerSecond}),
@@ -257,10 +262,11 @@
 			new MeasureFilter({metrics: this._metrics, clock: systemClock}),
 			new SendResponseFilter(),
 			new OutcomeFilter(),
+			new PipelineFilter(this._connections),
 			new RouteFilter(this._view, Math.random),
 			new TimeLimitFilter({clock: systemClock, callerWatch: new CallerWatch(), timeoutHeader: site.headers.timeoutMs}),
 			new RefuseDuringShutdownFilter<GatewayContext, BufferedResponse>({shutdown: this._shutdown, isIdempotent: ({route}) => route?.isIdempotent ?? false}),
-			new BodyFilter(this._view),
+			new BodyFilter({view: this._view, heldBytes: new HeldBytes(this._options.settings.limits.memoryBytes / bodyMemoryDivisor)}),
 			new IntakeFilter(this._intake),
 			new RetryFilter({
 				placement: this._placement,
@@ -271,20 +277,17 @@
 		]);
 	}
 
-	private _createDataListener(): HttpListener {
-		const {headers} = this._options.site;
-		const listener = new HttpListener({noDelay: true, requireHostHeader: false}, (request, response) => {
-			const id = request.headers[headers.requestId];
-			const arrival = {receivedAt: this._pauseWatch.estimateArrival(), readAt: this._readTracker.recordRead()};
-			void this._chain.run(new GatewayContext(request, response, arrival, typeof id === 'string' ? id : undefined));
-		});
-		listener.server.on('connection', () => {
-			this._intake.noteConnection();
+	private _createCallerListener(): CallerListener {
+		const listener = new CallerListener({
+			chain: this._chain,
+			connections: this._connections,
+			intake: this._intake,
+			pauseWatch: this._pauseWatch,
+			readTracker: this._readTracker,
+			requestIdHeader: this._options.site.headers.requestId,
 		});
 		this._store.add(this._view.onConfiguration(({limits}) => {
-			const {server} = listener;
-			server.keepAliveTimeout = limits.idleTimeoutMs;
-			server.headersTimeout = limits.headersTimeoutMs;
+			listener.setLimits(limits);
 		}));
 		return listener;
 	}
--- a/src/common/error-responses.ts
+++ b/src/common/error-responses.ts
@@ -35,7 +35,7 @@
 		status: 503, title: 'The deadline cannot be met', outcome: Outcome.NotRun, retryAfterSeconds: 1,
 	},
 	[ErrorKind.DeadlineExpiredQueued]: {
-		status: 504, title: 'The deadline expired before dispatch', outcome: Outcome.NotRun, retryAfterSeconds: 1,
+		status: 503, title: 'The deadline expired before dispatch', outcome: Outcome.NotRun, retryAfterSeconds: 1,
 	},
 	[ErrorKind.DeadlineExpiredDispatched]: {
 		status: 504, title: 'The deadline expired after dispatch', outcome: Outcome.Unknown, retryAfterSeconds: undefined,
@@ -50,7 +50,7 @@
 		status: 503, title: 'No target is available', outcome: Outcome.NotRun, retryAfterSeconds: 1,
 	},
 	[ErrorKind.ConnectFailed]: {
-		status: 502, title: 'No connection to a target could be opened', outcome: Outcome.NotRun, retryAfterSeconds: 1,
+		status: 503, title: 'No connection to a target could be opened', outcome: Outcome.NotRun, retryAfterSeconds: 1,
 	},
 	[ErrorKind.ConnectionsExhausted]: {
 		status: 503, title: 'All connections to the targets are in use', outcome: Outcome.NotRun, retryAfterSeconds: 1,
--- a/src/common/gateway/header-vocabulary.ts
+++ b/src/common/gateway/header-vocabulary.ts
@@ -14,4 +14,6 @@
 	readonly load: string;
 	/** Present on a response to a request that the target did not run. */
 	readonly notRun: string;
+	/** States on a response that the target is leaving. */
+	readonly leaving: string;
 };
--- a/src/common/gateway/sync-message.ts
+++ b/src/common/gateway/sync-message.ts
@@ -1,5 +1,6 @@
 import type {GatewayMember} from './gateway-member.js';
 import type {TargetChanges} from './target-changes.js';
+import type {TargetIncarnation} from './target-incarnation.js';
 import type {ViewVersion} from './view-version.js';
 
 /** State exchanged between two instances: versions always, values only where the receiver is believed to lack them. */
@@ -16,4 +17,6 @@
 	readonly members: readonly GatewayMember[];
 	readonly view: ViewVersion;
 	readonly targets?: TargetChanges;
+	/** Targets that announced lately in a response that they are leaving. */
+	readonly leaving?: readonly TargetIncarnation[];
 };
--- a/src/controllers/gateway/load-refresher.ts
+++ b/src/controllers/gateway/load-refresher.ts
@@ -2,6 +2,7 @@
 import type {Clock} from '../../common/clock.js';
 import {AttemptEnd} from '../../common/gateway/attempt-end.js';
 import type {GatewayService} from '../../common/gateway/gateway-service.js';
+import type {TargetReport} from '../../common/gateway/target-report.js';
 import type {Metrics} from '../../common/metrics.js';
 import type {RateLimiter} from '../../policy/gateway/rate-limiter.js';
 import type {PooledTarget} from './pooled-target.js';
@@ -9,13 +10,15 @@
 import type {TargetRater} from './target-rater.js';
 
 type LoadRefresherOptions = {
-	readonly service: GatewayService;
+	readonly getService: () => GatewayService;
 	readonly prober: TargetProber;
 	readonly rater: TargetRater;
 	/** Limits the rate of probes to the targets of the service. */
 	readonly budget: RateLimiter;
 	readonly metrics: Metrics;
 	readonly clock: Clock;
+	/** Called with what a target said of itself in the response to a probe. */
+	readonly onReport: (pooledTarget: PooledTarget, report: TargetReport) => void;
 };
 
 /** Longest wait for the responses to probes, in ms: two round trips between failure domains and the processing time of the targets. */
@@ -46,7 +49,8 @@
 	}
 
 	private async _refresh(pooledTarget: PooledTarget): Promise<void> {
-		const {clock, prober, service, rater, metrics} = this._options;
+		const {clock, prober, getService, rater, metrics, onReport} = this._options;
+		const service = getService();
 		const {record, client} = pooledTarget;
 		const probeResult = await prober.probe(client, service.healthPath, record.target.id);
 		pooledTarget.pendingProbe = undefined;
@@ -57,10 +61,13 @@
 		} else if (probeResult.targetId !== undefined && probeResult.targetId !== record.target.id) {
 			record.recordEnd(AttemptEnd.Misdirected, now);
 		} else {
+			const {load} = probeResult.report;
 			record.recordHealth(probeResult.isHealthy, now);
-			if (probeResult.load !== undefined || probeResult.isHealthy) {
-				rater.recordReport(record, probeResult.load, now);
+			if (load !== undefined || probeResult.isHealthy) {
+				rater.recordReport(record, load, now);
 			}
+
+			onReport(pooledTarget, probeResult.report);
 		}
 	}
 }
--- a/src/controllers/gateway/member-controller.ts
+++ b/src/controllers/gateway/member-controller.ts
@@ -329,6 +329,7 @@
 
 		this._checkDigest(link, message);
 		view.offerPeerView(message.view, message.targets);
+		view.noteLeaving(message.leaving ?? [], message.from);
 		this._fetcher.fetchNewer();
 		if (changed.length > 0) {
 			this._scheduleNotification();
@@ -398,6 +399,7 @@
 		const isPeerKnown = link !== undefined && link.lastMessageAt > Number.NEGATIVE_INFINITY;
 		// A peer from which no message has come may have all records already; its response shows what it lacks.
 		const members = isPeerKnown ? this._table.listChanges(link.acknowledgedNumber, peerId ?? '') : (current === undefined ? [] : [current]);
+		const leaving = view.recentlyLeaving;
 		const sendsTargets = isPeerKnown && version.targets > link.view.targets;
 		return {
 			from: self.id,
@@ -407,6 +409,7 @@
 			digest: this._table.digest,
 			members,
 			view: version,
+			...(leaving.length > 0 && {leaving}),
 			...(sendsTargets && {targets: view.collectTargetChanges(link.view.targets)}),
 		};
 	}
--- a/src/controllers/gateway/placement-controller.test.ts
+++ b/src/controllers/gateway/placement-controller.test.ts
@@ -1,5 +1,6 @@
 import {describe, expect, it} from 'vitest';
 import {disabledMetrics} from '../../io/disabled-metrics.js';
+import {gatewayHeaders} from '../../../test/support/gateway-headers.js';
 import {silentLogger} from '../../../test/support/silent-logger.js';
 import {FleetShare} from '../../policy/gateway/fleet-share.js';
 import {PlacementController} from './placement-controller.js';
@@ -34,9 +35,7 @@
 					limits,
 				},
 				view,
-				headers: {
-					requestId: '', timeoutMs: '', signature: '', expectedTarget: '', targetId: '', load: '', notRun: '',
-				},
+				headers: gatewayHeaders,
 				metrics: disabledMetrics,
 				clock,
 				random: () => 0,
--- a/src/controllers/gateway/placement-controller.ts
+++ b/src/controllers/gateway/placement-controller.ts
@@ -77,6 +77,7 @@
 		for (const [service, {placer, pool, retryBudget}] of this._services) {
 			metrics.recordGauge('queue.waiting', placer.waitingCount, {service});
 			metrics.recordGauge('target.in_flight', pool.inFlight, {service});
+			metrics.recordGauge('target.paused', pool.pausedCount, {service});
 			metrics.recordGauge('target.usual_ms', pool.serviceTimes.usualMs, {service});
 			metrics.recordGauge('request.repeats_left', retryBudget.getRemaining(clock.now()), {service});
 		}
@@ -103,13 +104,14 @@
 		for (const service of services.values()) {
 			const state = this._services.get(service.name) ?? this._createService(service);
 			this._services.set(service.name, state);
+			state.pool.setService(service);
 			state.pool.update(view.targets.filter(target => target.service === service.name));
 			state.placer.placeWaiting();
 		}
 	}
 
 	private _createService(service: GatewayService): ServiceState {
-		const {settings, headers, metrics, clock, random, share} = this._options;
+		const {settings, view, headers, metrics, clock, random, share} = this._options;
 		const {limits, instance} = settings;
 		const pool = new TargetPool({
 			service,
@@ -119,11 +121,14 @@
 			prober: new TargetProber(headers),
 			metrics,
 			maxResponseBytes: limits.memoryBytes / responseMemoryDivisor,
-			getMaxConnections: () => Math.max(1, Math.floor(share.divide(service.connectionsPerTarget))),
+			getMaxConnections: ({connectionsPerTarget}) => Math.max(1, Math.floor(share.divide(connectionsPerTarget))),
 			getProbeRate: () => share.divide(limits.probesPerTargetPerSecond),
 			onRelease() {
 				placer.placeWaiting();
 			},
+			onLeaving(target) {
+				view.noteLeaving([target], 'response');
+			},
 		});
 		const placer = new ServicePlacer({pool, clock});
 		return {
--- a/src/controllers/gateway/pooled-target.ts
+++ b/src/controllers/gateway/pooled-target.ts
@@ -5,6 +5,10 @@
 export type PooledTarget = {
 	readonly record: TargetRecord;
 	readonly client: TargetClient;
+	/** Target and incarnation. */
+	readonly key: string;
+	/** Whether the target has been removed from the pool. */
+	isRemoved: boolean;
 	/** The probe in progress, shared by all requests that need one meanwhile; undefined when there is none. */
 	pendingProbe: Promise<void> | undefined;
 };
--- a/src/controllers/gateway/probe-result.ts
+++ b/src/controllers/gateway/probe-result.ts
@@ -1,8 +1,9 @@
-import type {TargetLoad} from '../../common/gateway/target-load.js';
+import type {TargetReport} from '../../common/gateway/target-report.js';
 
-/** The response to a health check; a field is undefined when the response does not have it. */
+/** The response to a health check. */
 export type ProbeResult = {
 	readonly isHealthy: boolean;
+	/** Id of the target that responded; undefined when the response does not state it. */
 	readonly targetId: string | undefined;
-	readonly load: TargetLoad | undefined;
+	readonly report: TargetReport;
 };
--- a/src/controllers/gateway/registry-reader.ts
+++ b/src/controllers/gateway/registry-reader.ts
@@ -138,6 +138,7 @@
 			this._countRead('targets', read);
 			if (read.isOk()) {
 				this._recordSuccess();
+				this._options.metrics.recordGauge('registry.refused_records', read.value.refusedCount ?? 0);
 				view.offerTargets(read.value, clock.now() - startedAt);
 			} else {
 				this._recordFailure('targets', read.error);
--- a/src/controllers/gateway/service-placer.test.ts
+++ b/src/controllers/gateway/service-placer.test.ts
@@ -21,6 +21,8 @@
 	let choice: TargetChoice | undefined;
 	let size = 1;
 	let isExhausted = false;
+	let pauseMs = 0;
+	let now = 0;
 	let placer: ServicePlacer;
 
 	const createRequest = (fields: Partial<PlacementRequest> = {}): PlacementRequest => ({
@@ -33,6 +35,8 @@
 		choice = undefined;
 		size = 1;
 		isExhausted = false;
+		pauseMs = 0;
+		now = 0;
 		const pool = {
 			serviceTimes: {usualMs, meanMs: usualMs},
 			inFlight: 1,
@@ -40,11 +44,12 @@
 				return size;
 			},
 			isExhausted: () => isExhausted,
+			computePauseMs: () => pauseMs,
 			chooseFromReports: () => choice,
 			chooseWithProbes: async () => choice,
 			grant: () => lease,
 		};
-		placer = new ServicePlacer({pool: pool as unknown as TargetPool, clock: {now: () => 0}});
+		placer = new ServicePlacer({pool: pool as unknown as TargetPool, clock: {now: () => now}});
 	});
 
 	it.each([
@@ -62,11 +67,54 @@
 		['all targets are excluded', () => {
 			isExhausted = true;
 		}],
+		['all targets accept no requests before the deadline', () => {
+			pauseMs = 2950;
+		}],
 	])('refuses at once when %s', async (_name, prepare) => {
 		prepare();
 		expect(describeResult(await placer.acquire(createRequest()))).toBe(ErrorKind.NoTarget);
 	});
 
+	it('states when the first target accepts requests again', async () => {
+		pauseMs = 60_000;
+		const refused = await placer.acquire(createRequest());
+		expect(refused._unsafeUnwrapErr().retryAfterMs).toBe(60_000);
+	});
+
+	it('ends a request that was aborted before, with the reason', async () => {
+		const reason = new RequestError(ErrorKind.CallerGone, 'the caller left');
+		choice = createChoice(100);
+		expect(await placer.acquire(createRequest({signal: AbortSignal.abort(reason)}))).toEqual(err(reason));
+	});
+
+	it('refuses the waiting requests when the last target has gone', async () => {
+		const pending = placer.acquire(createRequest());
+		await new Promise(resolve => {
+			setTimeout(resolve, 5);
+		});
+		size = 0;
+		placer.placeWaiting();
+		expect(describeResult(await pending)).toBe(ErrorKind.NoTarget);
+	});
+
+	it('refuses a waiting request as soon as no target can complete it before its deadline', async () => {
+		const pending = placer.acquire(createRequest());
+		await new Promise(resolve => {
+			setTimeout(resolve, 5);
+		});
+		now = 2900;
+		placer.placeWaiting();
+		await new Promise(resolve => {
+			setTimeout(resolve, 5);
+		});
+		expect(placer.waitingCount).toBe(1);
+		now = 2901;
+		placer.placeWaiting();
+		const refused = await pending;
+		expect(refused._unsafeUnwrapErr().kind).toBe(ErrorKind.DeadlineUnreachable);
+		expect(placer.waitingCount).toBe(0);
+	});
+
 	it('queues a request that a slowed target would make late until a better target is free', async () => {
 		choice = createChoice(500);
 		const pending = placer.acquire(createRequest());
--- a/src/controllers/gateway/service-placer.ts
+++ b/src/controllers/gateway/service-placer.ts
@@ -47,6 +47,10 @@
 
 	/** Waits for a slot at a target. An error means that the request has not run. */
 	async acquire(request: PlacementRequest): Promise<Result<TargetLease, RequestError>> {
+		if (request.signal.aborted) {
+			return err(request.signal.reason as RequestError);
+		}
+
 		const refusal = this._findRefusal(request);
 		if (refusal !== undefined) {
 			return err(refusal);
@@ -85,9 +89,10 @@
 		return choice?.isIdle ? this._options.pool.grant(choice) : undefined;
 	}
 
-	/** Places waiting requests by recent load reports and starts probes for those that cannot be placed by them. */
+	/** Places waiting requests by recent load reports and starts probes for those that cannot be placed by them. Refuses those that can no longer be completed in time. */
 	placeWaiting(): void {
 		const {clock, pool} = this._options;
+		this._refuseHopeless();
 		const unplaced: Waiter[] = [];
 		for (let waiter = this._takeNext(); waiter !== undefined; waiter = this._takeNext()) {
 			const choice = pool.chooseFromReports(waiter.request.excludedTargets);
@@ -118,17 +123,22 @@
 		return this._waiters.take(clock.now() + pool.serviceTimes.usualMs);
 	}
 
-	/** Finds the reason for which a request has to be refused at once: no target is left, or it would miss its objective behind the queued ones. Undefined when there is none. */
-	private _findRefusal({service, excludedTargets, objectiveAt}: PlacementRequest): RequestError | undefined {
+	/** Finds the reason for which a request has to be refused at once: no target is left, none accepts requests in time, or it would miss its objective behind the queued ones. Undefined when there is none. */
+	private _findRefusal({service, excludedTargets, objectiveAt, deadlineAt}: PlacementRequest): RequestError | undefined {
 		const {clock, pool} = this._options;
 		if (pool.size === 0) {
-			return new RequestError(ErrorKind.NoTarget, `service "${service}" has no target`, minRetryAfterMs);
+			return this._createNoTargetError(service);
 		}
 
 		if (pool.isExhausted(excludedTargets)) {
 			return new RequestError(ErrorKind.NoTarget, `each of the ${pool.size} targets of service "${service}" was tried`, minRetryAfterMs);
 		}
 
+		const pauseMs = pool.computePauseMs(excludedTargets);
+		if (pauseMs > 0 && clock.now() + pauseMs + pool.serviceTimes.usualMs > deadlineAt) {
+			return new RequestError(ErrorKind.NoTarget, `all targets of service "${service}" accept no requests for ${Math.round(pauseMs)} ms`, Math.max(minRetryAfterMs, pauseMs));
+		}
+
 		const waitMs = this._predictWait();
 		if (waitMs > 0 && clock.now() + waitMs > objectiveAt - pool.serviceTimes.usualMs) {
 			const detail = `${this._waiters.length} requests of service "${service}" are queued; the expected wait is ${Math.round(waitMs)} ms`;
@@ -138,6 +148,28 @@
 		return undefined;
 	}
 
+	private _createNoTargetError(service: string): RequestError {
+		return new RequestError(ErrorKind.NoTarget, `service "${service}" has no target`, minRetryAfterMs);
+	}
+
+	/**
+	Refuses the waiting requests that even an idle target is not expected to complete before their deadline, or all when no target is
+	left, so that callers can use the time that they have left. A request for which no target was looked for yet is kept: otherwise a usual time above the timeouts would never be corrected.
+	*/
+	private _refuseHopeless(): void {
+		const {clock, pool} = this._options;
+		if (pool.size === 0) {
+			for (const waiter of this._waiters.takeMatching(() => true)) {
+				waiter.settle(err(this._createNoTargetError(waiter.request.service)));
+			}
+		}
+
+		const earliestEnd = clock.now() + pool.serviceTimes.usualMs;
+		for (const waiter of this._waiters.takeMatching(({request, hasProbed}) => hasProbed && request.deadlineAt < earliestEnd)) {
+			waiter.settle(err(new RequestError(ErrorKind.DeadlineUnreachable, `no slot of service "${waiter.request.service}" was free in time`, minRetryAfterMs)));
+		}
+	}
+
 	/** Predicts the wait of a request that arrives now, in ms, from the rate at which this instance's requests free slots. */
 	private _predictWait(): number {
 		const {clock, pool} = this._options;
--- a/src/controllers/gateway/site-view.ts
+++ b/src/controllers/gateway/site-view.ts
@@ -5,8 +5,10 @@
 import type {GatewayTarget} from '../../common/gateway/gateway-target.js';
 import type {TargetChanges} from '../../common/gateway/target-changes.js';
 import type {TargetList} from '../../common/gateway/target-list.js';
+import type {TargetIncarnation} from '../../common/gateway/target-incarnation.js';
 import type {ViewVersion} from '../../common/gateway/view-version.js';
 import type {Logger} from '../../common/logger.js';
+import {LeavingTargets} from '../../policy/gateway/leaving-targets.js';
 import {TargetTable} from '../../policy/gateway/target-table.js';
 
 type SiteViewOptions = {
@@ -23,6 +25,7 @@
 	private readonly _onTargets = new Emitter<readonly GatewayTarget[]>();
 	private readonly _onVersionChange = new Emitter<ViewVersion>();
 	private readonly _table = new TargetTable();
+	private readonly _leavingTargets = new LeavingTargets();
 	private _configuration: GatewayConfiguration | undefined;
 	private _configurationConfirmedAt = Number.NEGATIVE_INFINITY;
 	private _targetsConfirmedAt = Number.NEGATIVE_INFINITY;
@@ -53,7 +56,12 @@
 
 	/** The active targets, including those that are leaving. */
 	get targets(): readonly GatewayTarget[] {
-		return this._table.targets;
+		return this._table.targets.map(target => this._leavingTargets.has(target) ? {...target, isLeaving: true} : target);
+	}
+
+	/** Targets that announced lately that they are leaving, for peers. */
+	get recentlyLeaving(): readonly TargetIncarnation[] {
+		return this._leavingTargets.listRecent(this._options.clock.now());
 	}
 
 	/** Whether both a configuration and a list of targets are known, so that requests can be routed. */
@@ -147,6 +155,18 @@
 		this._fireTargetEvents(confirmedBefore, hasChanged);
 	}
 
+	/**
+	Notes targets that have announced that they are leaving; no list makes them available again.
+	@param source - Where the announcement came from: 'response' of the target or the id of a peer.
+	*/
+	noteLeaving(targets: readonly TargetIncarnation[], source: string): void {
+		const added = targets.filter(target => this._leavingTargets.add(target, this._options.clock.now()));
+		if (added.length > 0) {
+			this._options.logger.logInfo('targets-leaving', {targets: added.map(({id}) => id), source});
+			this._onTargets.fire(this.targets);
+		}
+	}
+
 	/** Collects the changes of targets that a peer lacks whose list is complete up to a revision. */
 	collectTargetChanges(revision: number): TargetChanges {
 		return this._table.collectChanges(revision, this._options.clock.now());
--- a/src/controllers/gateway/target-pool.test.ts
+++ b/src/controllers/gateway/target-pool.test.ts
@@ -4,7 +4,9 @@
 import {gatewayTarget} from '../../../test/support/gateway-target.js';
 import {AttemptEnd} from '../../common/gateway/attempt-end.js';
 import type {TargetLoad} from '../../common/gateway/target-load.js';
+import type {TargetReport} from '../../common/gateway/target-report.js';
 import {disabledMetrics} from '../../io/disabled-metrics.js';
+import type {TargetLease} from './target-lease.js';
 import {TargetPool} from './target-pool.js';
 import type {TargetProber} from './target-prober.js';
 
@@ -12,10 +14,14 @@
 	running: 0, waiting: 0, slots: 6, slowdown: 1,
 };
 
+const silentReport: TargetReport = {load: undefined, isLeaving: false, pauseMs: 0};
+
 describe('TargetPool', () => {
 	let now = 10_000;
 	let loads = new Map<string, TargetLoad>();
 	let probedIds: string[] = [];
+	let reports = new Map<string, Partial<TargetReport>>();
+	let leavingIds: string[] = [];
 	let pool: TargetPool;
 
 	/** Ids of targets in the pool's own failure domain begin with a-, those of others with b-. */
@@ -24,7 +30,7 @@
 			async probe(_client: unknown, _path: string, id: string) {
 				probedIds.push(id);
 				const load = loads.get(id);
-				return load === undefined ? undefined : {isHealthy: true, targetId: id, load};
+				return load === undefined ? undefined : {isHealthy: true, targetId: id, report: {...silentReport, ...reports.get(id), load}};
 			},
 		};
 		const created = new TargetPool({
@@ -38,6 +44,9 @@
 			maxResponseBytes: 1_000_000,
 			getProbeRate: () => probeRate,
 			onRelease: () => undefined,
+			onLeaving(target) {
+				leavingIds.push(target.id);
+			},
 		});
 		created.update(ids.map(id => ({
 			...gatewayTarget, id, slots: 6, warmUpLeftMs: 0, failureDomain: id.slice(0, 1),
@@ -49,6 +58,8 @@
 		now = 10_000;
 		loads = new Map();
 		probedIds = [];
+		reports = new Map();
+		leavingIds = [];
 	});
 
 	afterEach(() => {
@@ -91,6 +102,77 @@
 		expect(probedIds).toHaveLength(2);
 	});
 
+	const grantTo = async (id: string) => {
+		const choice = await pool.chooseWithProbes([]);
+		if (choice?.pooledTarget.record.target.id !== id) {
+			throw new Error(`${id} was not chosen`);
+		}
+
+		return pool.grant(choice);
+	};
+
+	it.each([
+		['a response', async () => {
+			const lease = await grantTo('a-1');
+			lease.release(AttemptEnd.Refused, {...silentReport, pauseMs: 2000});
+		}],
+		['a probe', async () => {
+			reports.set('a-1', {pauseMs: 2000});
+			await pool.chooseWithProbes([]);
+		}],
+	])('neither chooses nor probes a target that asked for a pause in %s, also when it is listed again', async (_name, askForPause) => {
+		loads.set('a-1', idle);
+		pool = createPool(['a-1']);
+		await askForPause();
+		reports.clear();
+		probedIds = [];
+		pool.update([]);
+		pool.update([{
+			...gatewayTarget, id: 'a-1', slots: 6, warmUpLeftMs: 0, failureDomain: 'a',
+		}]);
+		now += 1999;
+		expect(pool.computePauseMs([])).toBe(1);
+		expect(pool.chooseFromReports([])).toBeUndefined();
+		expect(await pool.chooseWithProbes([])).toBeUndefined();
+		expect(probedIds).toEqual([]);
+		now += 1;
+		expect(pool.computePauseMs([])).toBe(0);
+		expect(await pool.chooseWithProbes([])).toBeDefined();
+	});
+
+	it.each([
+		['a pause was asked for', async (lease: TargetLease) => {
+			lease.release(AttemptEnd.Refused, {...silentReport, pauseMs: 1000});
+		}],
+		['the target was removed', async () => {
+			pool.update([]);
+		}],
+	])('does not send a request that was granted a slot before %s', async (_name, change) => {
+		loads.set('a-1', idle);
+		pool = createPool(['a-1']);
+		const granted = await grantTo('a-1');
+		const other = await grantTo('a-1');
+		expect(granted.canSend()).toBe(true);
+		await change(other);
+		expect(granted.canSend()).toBe(false);
+	});
+
+	it.each([
+		['a response', async () => {
+			const lease = await grantTo('a-1');
+			lease.release(AttemptEnd.Answered, {...silentReport, isLeaving: true});
+		}],
+		['a probe', async () => {
+			reports.set('a-1', {isLeaving: true});
+			await pool.chooseWithProbes([]);
+		}],
+	])('reports a target that announces in %s that it is leaving', async (_name, announce) => {
+		loads.set('a-1', idle);
+		pool = createPool(['a-1']);
+		await announce();
+		expect(leavingIds).toEqual(['a-1']);
+	});
+
 	it('does not count a completed request in the load report of its response', async () => {
 		loads.set('a-1', {...idle, running: 3});
 		pool = createPool(['a-1']);
@@ -102,7 +184,7 @@
 		const lease = pool.grant(choice);
 		expect(pool.chooseFromReports([])).toBeUndefined();
 		now += 200;
-		lease.release(AttemptEnd.Answered, {...idle, running: 4});
+		lease.release(AttemptEnd.Answered, {...silentReport, load: {...idle, running: 4}});
 		expect(pool.chooseFromReports([])?.hasFreeSlot).toBe(true);
 		expect(pool.inFlight).toBe(0);
 	});
--- a/src/controllers/gateway/target-pool.ts
+++ b/src/controllers/gateway/target-pool.ts
@@ -3,10 +3,12 @@
 import {AttemptEnd} from '../../common/gateway/attempt-end.js';
 import type {GatewayService} from '../../common/gateway/gateway-service.js';
 import type {GatewayTarget} from '../../common/gateway/gateway-target.js';
+import type {TargetReport} from '../../common/gateway/target-report.js';
 import type {Metrics} from '../../common/metrics.js';
 import {TargetClient} from '../../io/gateway/target-client.js';
 import {computeConcurrencyLimit} from '../../policy/gateway/compute-concurrency-limit.js';
 import {RateLimiter} from '../../policy/gateway/rate-limiter.js';
+import {TargetPauses} from '../../policy/gateway/target-pauses.js';
 import {TargetRecord} from '../../policy/gateway/target-record.js';
 import type {ServiceTimeAverages} from '../../policy/gateway/service-time-averages.js';
 import {LoadRefresher} from './load-refresher.js';
@@ -24,13 +26,15 @@
 	readonly prober: TargetProber;
 	readonly metrics: Metrics;
 	/** Current limit of this instance's connections to one target. */
-	readonly getMaxConnections: () => number;
+	readonly getMaxConnections: (service: GatewayService) => number;
 	/** Largest response body that is buffered, in bytes; a longer one fails the attempt. */
 	readonly maxResponseBytes: number;
 	/** Current limit of this instance's probes, per second and target. */
 	readonly getProbeRate: () => number;
 	/** Called after a slot was freed. */
 	readonly onRelease: () => void;
+	/** Called when a target announces that it is leaving. */
+	readonly onLeaving: (target: GatewayTarget) => void;
 };
 
 /** Targets that may be probed for one request. */
@@ -49,12 +53,23 @@
 	private readonly _pooledTargets = new Map<string, PooledTarget>();
 	private readonly _rater: TargetRater;
 	private readonly _loadRefresher: LoadRefresher;
+	private readonly _pauses = new TargetPauses();
+	private _service: GatewayService;
 
 	constructor(private readonly _options: TargetPoolOptions) {
+		this._service = _options.service;
 		this._rater = new TargetRater(_options.failureDomain);
 		// The limit is per target on average, so the budget is shared by all targets of the service; those in the own failure domain are probed most.
 		const budget = new RateLimiter({getRate: () => _options.getProbeRate() * this.size, burstSeconds: probeBurstSeconds}, _options.clock.now());
-		this._loadRefresher = new LoadRefresher({..._options, rater: this._rater, budget});
+		this._loadRefresher = new LoadRefresher({
+			..._options,
+			rater: this._rater,
+			budget,
+			getService: () => this._service,
+			onReport: (pooledTarget, report) => {
+				this._applyReport(pooledTarget, report);
+			},
+		});
 	}
 
 	/** Average durations of the service's requests. */
@@ -67,6 +82,11 @@
 		return this._pooledTargets.size;
 	}
 
+	/** Number of targets that accept no requests from this instance for now. */
+	get pausedCount(): number {
+		return this._pauses.size;
+	}
+
 	/** Requests of this instance that are in flight at targets. */
 	get inFlight(): number {
 		let sum = 0;
@@ -77,9 +97,15 @@
 		return sum;
 	}
 
+	/** Applies a changed health path or limit of the service. */
+	setService(service: GatewayService): void {
+		this._service = service;
+	}
+
 	/** Replaces the targets by those of a newer list; requests in flight at removed targets continue. */
 	update(targets: readonly GatewayTarget[]): void {
 		const {clock, getMaxConnections, maxResponseBytes} = this._options;
+		this._pauses.evictEnded(clock.now());
 		const listedTargets = new Map(targets.filter(target => !target.isLeaving).map(target => [`${target.id} ${target.startedAt}`, target]));
 		const removedRecords = new Map<string, TargetRecord>();
 		for (const [key, pooledTarget] of this._pooledTargets) {
@@ -87,6 +113,7 @@
 			if (target?.host !== pooledTarget.record.target.host || target.port !== pooledTarget.record.target.port) {
 				removedRecords.set(pooledTarget.record.target.id, pooledTarget.record);
 				this._pooledTargets.delete(key);
+				pooledTarget.isRemoved = true;
 				this._disposeWhenIdle(pooledTarget);
 			}
 		}
@@ -96,8 +123,10 @@
 				this._pooledTargets.set(key, {
 					record: new TargetRecord(target, clock.now(), removedRecords.get(target.id)),
 					client: new TargetClient({
-						host: target.host, port: target.port, getMaxConnections, maxResponseBytes,
+						host: target.host, port: target.port, getMaxConnections: () => getMaxConnections(this._service), maxResponseBytes,
 					}),
+					key,
+					isRemoved: false,
 					pendingProbe: undefined,
 				});
 			}
@@ -109,6 +138,19 @@
 		return [...this._pooledTargets.values()].every(({record}) => excludedTargets.includes(record.target.id));
 	}
 
+	/** Computes the time until the first target accepts requests again, in ms; 0 when one does now. */
+	computePauseMs(excludedTargets: readonly string[]): number {
+		const now = this._options.clock.now();
+		let shortestMs = Number.POSITIVE_INFINITY;
+		for (const {key, record} of this._pooledTargets.values()) {
+			if (!excludedTargets.includes(record.target.id)) {
+				shortestMs = Math.min(shortestMs, this._pauses.getRemainingMs(key, now));
+			}
+		}
+
+		return Number.isFinite(shortestMs) ? shortestMs : 0;
+	}
+
 	/** Chooses the best target by recent load reports, without probes; undefined when none is known to have a free slot. */
 	chooseFromReports(excludedTargets: readonly string[]): TargetChoice | undefined {
 		return this._chooseBest(this._listCandidates(excludedTargets));
@@ -132,7 +174,7 @@
 
 	/** Takes a slot at the chosen target; releasing the lease frees it. */
 	grant({pooledTarget}: TargetChoice): TargetLease {
-		const {clock, service, metrics, onRelease} = this._options;
+		const {clock, metrics, onRelease} = this._options;
 		const {record, client} = pooledTarget;
 		const startedAt = clock.now();
 		const report = record.getLoad(startedAt);
@@ -144,21 +186,26 @@
 			target: record.target,
 			report,
 			client,
-			release: (end, load) => {
+			canSend: () => !pooledTarget.isRemoved && this._pauses.getRemainingMs(pooledTarget.key, clock.now()) === 0,
+			release: (end, targetReport) => {
 				if (isReleased) {
 					return;
 				}
 
 				isReleased = true;
 				record.inFlight--;
-				metrics.countEvent('target.attempts', {service: service.name, end});
+				metrics.countEvent('target.attempts', {service: this._service.name, end});
 				const now = clock.now();
-				if (load !== undefined) {
+				if (targetReport?.load !== undefined) {
 					// A report in a response still counts the request that the response answers.
-					this._rater.recordReport(record, {...load, running: Math.max(0, load.running - 1)}, now);
+					this._rater.recordReport(record, {...targetReport.load, running: Math.max(0, targetReport.load.running - 1)}, now);
 				}
 
 				record.recordEnd(end, now);
+				if (targetReport !== undefined) {
+					this._applyReport(pooledTarget, targetReport);
+				}
+
 				if (end === AttemptEnd.Answered) {
 					record.recordDurationRatio((now - startedAt) / (this.serviceTimes.usualMs * expectedSlowdown), now);
 					this.serviceTimes.record(now - startedAt, expectedSlowdown);
@@ -188,7 +235,8 @@
 		const now = this._options.clock.now();
 		let best: TargetChoice | undefined;
 		for (const pooledTarget of candidates) {
-			const choice = !pooledTarget.record.isUnhealthy(now) || this._areAllUnhealthy(now) ? this._rater.rate(pooledTarget, now) : undefined;
+			const isAvailable = !pooledTarget.isRemoved && this._pauses.getRemainingMs(pooledTarget.key, now) === 0;
+			const choice = isAvailable && (!pooledTarget.record.isUnhealthy(now) || this._areAllUnhealthy(now)) ? this._rater.rate(pooledTarget, now) : undefined;
 			if (choice?.hasFreeSlot && (best === undefined || choice.estimateMs < best.estimateMs)) {
 				best = choice;
 			}
@@ -201,7 +249,7 @@
 	private _listCandidates(excludedTargets: readonly string[]): PooledTarget[] {
 		const {clock, random} = this._options;
 		const now = clock.now();
-		const all = [...this._pooledTargets.values()].filter(({record}) => !excludedTargets.includes(record.target.id));
+		const all = [...this._pooledTargets.values()].filter(({key, record}) => !excludedTargets.includes(record.target.id) && this._pauses.getRemainingMs(key, now) === 0);
 		const healthy = all.filter(({record}) => !record.isUnhealthy(now));
 		const notEjected = (healthy.length > 0 ? healthy : all).filter(({record}) => !record.isEjected(now));
 		// When all targets are ejected, requests are sent to them anyway, to detect a recovery.
@@ -212,6 +260,19 @@
 			.map(({pooledTarget}) => pooledTarget);
 	}
 
+	private _applyReport(pooledTarget: PooledTarget, {isLeaving, pauseMs}: TargetReport): void {
+		const {clock, metrics, onLeaving} = this._options;
+		if (pauseMs > 0) {
+			this._pauses.add(pooledTarget.key, pauseMs, clock.now());
+			metrics.countEvent('target.announcements', {service: this._service.name, kind: 'pause'});
+		}
+
+		if (isLeaving && !pooledTarget.isRemoved) {
+			metrics.countEvent('target.announcements', {service: this._service.name, kind: 'leaving'});
+			onLeaving(pooledTarget.record.target);
+		}
+	}
+
 	private _areAllUnhealthy(now: number): boolean {
 		return [...this._pooledTargets.values()].every(({record}) => record.isUnhealthy(now));
 	}
--- a/src/controllers/gateway/target-prober.ts
+++ b/src/controllers/gateway/target-prober.ts
@@ -1,7 +1,7 @@
 import type {HeaderVocabulary} from '../../common/gateway/header-vocabulary.js';
 import type {TargetClient} from '../../io/gateway/target-client.js';
 import {findHeader} from '../../policy/gateway/find-header.js';
-import {parseTargetLoad} from '../../policy/gateway/parse-target-load.js';
+import {parseTargetReport} from '../../policy/gateway/parse-target-report.js';
 import type {ProbeResult} from './probe-result.js';
 
 /** Time after which a probe fails and its connection is closed, in ms. Responses take 4 ms within a site. */
@@ -26,6 +26,6 @@
 
 		const {status, rawHeaders} = response;
 		const respondingId = findHeader(rawHeaders, this._headers.targetId);
-		return {isHealthy: status === 200 && respondingId !== undefined, targetId: respondingId, load: parseTargetLoad(findHeader(rawHeaders, this._headers.load))};
+		return {isHealthy: status === 200 && respondingId !== undefined, targetId: respondingId, report: parseTargetReport(response, this._headers)};
 	}
 }
--- a/src/controllers/pause-controller.ts
+++ b/src/controllers/pause-controller.ts
@@ -13,6 +13,7 @@
 	private readonly _onResumed = new Emitter<number>();
 	private readonly _subscription: DisposableLike;
 	private _refreshing: Promise<void> | undefined;
+	private _refreshCount = 0;
 
 	constructor(private readonly _options: PauseOptions) {
 		this._subscription = _options.watch.onResumed(pausedMs => {
@@ -29,7 +30,7 @@
 	/** Resolves once the view is not older than the last pause. Checks for a pause first, as a dispatch may run before the timer of the pause watch. */
 	async waitForFreshView(): Promise<void> {
 		this._options.watch.checkPause();
-		if (this._refreshing !== undefined) {
+		while (this._refreshing !== undefined) {
 			await this._refreshing;
 		}
 	}
@@ -39,8 +40,13 @@
 		this._onResumed.dispose();
 	}
 
+	/** Refreshes the view; a further pause meanwhile starts another refresh, which the requests then wait for. */
 	private async _refresh(): Promise<void> {
+		this._refreshCount++;
+		const refreshCount = this._refreshCount;
 		await this._options.refreshView();
-		this._refreshing = undefined;
+		if (refreshCount === this._refreshCount) {
+			this._refreshing = undefined;
+		}
 	}
 }
--- a/src/filters/gateway/attempt-runner.ts
+++ b/src/filters/gateway/attempt-runner.ts
@@ -8,8 +8,7 @@
 import {RequestError} from '../../common/request-error.js';
 import type {TargetLease} from '../../controllers/gateway/target-lease.js';
 import {classifyResponse} from '../../policy/gateway/classify-response.js';
-import {findHeader} from '../../policy/gateway/find-header.js';
-import {parseTargetLoad} from '../../policy/gateway/parse-target-load.js';
+import {parseTargetReport} from '../../policy/gateway/parse-target-report.js';
 import {minRetryAfterMs} from '../../policy/gateway/min-retry-after-ms.js';
 import {AttemptInput} from '../../policy/attempt-input.js';
 import type {AttemptRecord} from '../../policy/attempt-record.js';
@@ -52,7 +51,7 @@
 		if (signal.aborted || this._options.clock.now() >= context.deadlineAt) {
 			record.apply(AttemptInput.Abandon);
 			lease.release(AttemptEnd.Unused);
-			return err(new RequestError(ErrorKind.DeadlineExpiredQueued, 'the deadline expired before dispatch'));
+			return err(context.signal.aborted ? context.signal.reason as RequestError : new RequestError(ErrorKind.DeadlineExpiredQueued, 'the deadline expired before dispatch'));
 		}
 
 		if (!isCallerConfirmed) {
@@ -69,7 +68,7 @@
 			path: context.request.url ?? '/',
 			body: context.body,
 			createHeaders: () => this._createHeaders(context, lease),
-			confirmSend: async () => await this._options.callerCheck.confirm(context) && this._options.clock.now() < context.deadlineAt,
+			confirmSend: async () => await this._options.callerCheck.confirm(context) && lease.canSend() && this._options.clock.now() < context.deadlineAt,
 			canReuseConnection: head => isMatchingResponse(classifyResponse(head, this._options.headers, context.requestId)),
 			signal,
 		});
@@ -83,16 +82,20 @@
 			case 'unconfirmed': {
 				record.apply(AttemptInput.Unwritten);
 				recordedLease.release(AttemptEnd.Unused);
-				return err(createOverloadedError());
+				return err(lease.canSend()
+					? createOverloadedError()
+					: new RequestError(ErrorKind.TargetRefused, `target ${lease.target.id} announced that it accepts no requests before this one was written`));
 			}
 
 			case 'lost': {
+				context.sentCount++;
 				record.apply(AttemptInput.Lost);
 				recordedLease.release(signal.aborted ? AttemptEnd.Cancelled : AttemptEnd.Lost);
 				return err(this._createLossError(context, lease, exchange.detail));
 			}
 
 			case 'answer': {
+				context.sentCount++;
 				return this._handleResponse(context, recordedLease, record, exchange.answer);
 			}
 		}
@@ -105,7 +108,7 @@
 		const callerSeenMs = Math.round(callerCheck.getAgeMs());
 		return {
 			...lease,
-			release(end, load) {
+			release(end, report) {
 				context.attempts.push({
 					target: lease.target.id,
 					end,
@@ -114,7 +117,7 @@
 					callerSeenMs,
 					...(lease.report !== undefined && {slowdown: lease.report.load.slowdown, reportAgeMs: Math.round(lease.report.ageMs)}),
 				});
-				lease.release(end, load);
+				lease.release(end, report);
 			},
 		};
 	}
@@ -123,7 +126,7 @@
 		const {headers} = this._options;
 		const end = classifyResponse(response, headers, context.requestId);
 		record.apply(AttemptInput.ResponseStarted);
-		lease.release(end, parseTargetLoad(findHeader(response.rawHeaders, headers.load)));
+		lease.release(end, isMatchingResponse(end) ? parseTargetReport(response, headers) : undefined);
 		switch (end) {
 			case AttemptEnd.Refused:
 			case AttemptEnd.Misdirected: {
--- a/src/filters/gateway/gateway-context.ts
+++ b/src/filters/gateway/gateway-context.ts
@@ -21,6 +21,8 @@
 	callerLeftAt: number | undefined;
 	/** Ids of the targets to which an attempt was made. */
 	readonly attemptedTargets: string[] = [];
+	/** Number of attempts of which a target may have received part. */
+	sentCount = 0;
 	/** Finished attempts, for the log. */
 	readonly attempts: AttemptLogEntry[] = [];
 	readonly ledger = new OutcomeLedger();
--- a/src/filters/gateway/retry-filter.ts
+++ b/src/filters/gateway/retry-filter.ts
@@ -126,7 +126,7 @@
 		return result.isErr() || result.value.status >= 500;
 	}
 
-	/** Whether the request may be retried; if so, takes the retry from the service's budget. */
+	/** Whether the request may be retried; if so, takes the retry from the service's budget, unless nothing was sent to any target yet. */
 	private _tryTakeRetry(context: GatewayContext, route: GatewayRoute): boolean {
 		const {ledger, signal, attemptedTargets} = context;
 		if (signal.aborted || attemptedTargets.length === 0 || !ledger.canBeginAttempt(route.isIdempotent)) {
@@ -134,7 +134,7 @@
 		}
 
 		const isProvenNotRun = ledger.outcome === Outcome.NotRun;
-		return (isProvenNotRun || attemptedTargets.length < route.maxAttempts) && this._options.placement.tryTakeRetry(context.service);
+		return (isProvenNotRun || attemptedTargets.length < route.maxAttempts) && (context.sentCount === 0 || this._options.placement.tryTakeRetry(context.service));
 	}
 
 	private _addRetryAfter(error: RequestError): RequestError {
--- a/src/filters/gateway/send-response-filter.ts
+++ b/src/filters/gateway/send-response-filter.ts
@@ -1,6 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {createProblem} from '../../common/create-problem.js';
 import type {BufferedResponse} from '../../common/gateway/buffered-response.js';
+import {ErrorKind} from '../../common/error-kind.js';
 import type {RequestError} from '../../common/request-error.js';
 import {stripHopHeaders} from '../strip-hop-headers.js';
 import type {GatewayContext} from './gateway-context.js';
@@ -51,8 +52,8 @@
 			headers['retry-after'] = (error.retryAfterMs / 1000).toFixed(2);
 		}
 
-		if (!request.complete) {
-			// A persistent connection would require reading the rest of the body before the next request.
+		if (error.kind === ErrorKind.BodyTooLarge || error.kind === ErrorKind.RequestTooSlow) {
+			// The rest of any other body is read and dropped: closing the connection meanwhile would reset it, and the response would be lost.
 			headers.connection = 'close';
 		}
 
--- a/src/io/gateway/create-call-handler.test.ts
+++ b/src/io/gateway/create-call-handler.test.ts
@@ -3,11 +3,22 @@
 } from 'vitest';
 import {fromPromise} from 'neverthrow';
 import {request} from 'undici';
+import {silentLogger} from '../../../test/support/silent-logger.js';
 import {HttpListener} from '../http-listener.js';
 import {createCallHandler} from './create-call-handler.js';
 import {createSyncRouter} from './create-sync-router.js';
 
-const envelope = JSON.stringify({from: 'a', members: [], view: {}});
+const envelope = JSON.stringify({
+	from: 'a',
+	incarnation: 1,
+	changeNumber: 0,
+	takenNumber: 0,
+	digest: 0,
+	members: [],
+	view: {
+		configuration: 0, configurationAgeMs: 0, targets: 0, targetsAgeMs: 0,
+	},
+});
 
 describe('createCallHandler', () => {
 	const handleCall = createCallHandler(createSyncRouter({
@@ -19,7 +30,7 @@
 			return {...message, from: 'b'};
 		},
 		getConfiguration: () => undefined,
-	}));
+	}, silentLogger));
 	const listener = new HttpListener({}, (incoming, response) => {
 		void handleCall(incoming, response);
 	});
@@ -44,7 +55,7 @@
 		['none', envelope, 404, {error: {data: {code: 'NOT_FOUND'}}}],
 		['sync', '{"from":', 400, {error: {data: {code: 'PARSE_ERROR'}}}],
 		['sync', '{}', 400, {error: {message: 'a message needs from, members and view'}}],
-		['sync', '{"from":"broken","members":[],"view":{}}', 500, {error: {message: 'broken'}}],
+		['sync', envelope.replace('"a"', '"broken"'), 500, {error: {message: 'broken'}}],
 	])('responds to a call of %s with input %s with status %i', async (path, body, status, expected) => {
 		expect(await send(path, body)).toMatchObject({status, body: expected});
 	});
--- a/src/io/gateway/create-sync-router.ts
+++ b/src/io/gateway/create-sync-router.ts
@@ -1,7 +1,8 @@
-import {initTRPC} from '@trpc/server';
+import {initTRPC, TRPCError} from '@trpc/server';
 import type {PublishedConfiguration} from '../../common/gateway/published-configuration.js';
 import type {SyncMessage} from '../../common/gateway/sync-message.js';
-import {decodeMember} from './decode-member.js';
+import type {Logger} from '../../common/logger.js';
+import {decodeEnvelope} from './decode-envelope.js';
 import {encodeMember} from './encode-member.js';
 import {packConfiguration} from './pack-configuration.js';
 import type {PackedConfiguration} from './packed-configuration.js';
@@ -16,13 +17,13 @@
 
 const builder = initTRPC.create();
 
-const checkEnvelope = (value: unknown): SyncEnvelope => {
-	const envelope = value as Partial<SyncEnvelope> | undefined;
-	if (typeof envelope?.from !== 'string' || !Array.isArray(envelope.members) || typeof envelope.view !== 'object') {
-		throw new TypeError('a message needs from, members and view');
+/** Throws for an invalid message, which tRPC reports to the peer. */
+const unwrapEnvelope = (decoded: ReturnType<typeof decodeEnvelope>) => {
+	if (decoded.isErr()) {
+		throw new TRPCError({code: 'BAD_REQUEST', message: decoded.error});
 	}
 
-	return envelope as SyncEnvelope;
+	return decoded.value;
 };
 
 const checkVersion = (value: unknown): number => {
@@ -34,9 +35,14 @@
 };
 
 /** Creates the tRPC router that a gateway instance serves to its peers. */
-export const createSyncRouter = (handler: SyncHandler) => builder.router({
-	sync: builder.procedure.input(checkEnvelope).mutation(({input}): SyncEnvelope => {
-		const reply = handler.handleMessage({...input, members: input.members.map(member => decodeMember(member))});
+export const createSyncRouter = (handler: SyncHandler, logger: Logger) => builder.router({
+	sync: builder.procedure.input((value: unknown) => value as SyncEnvelope).mutation(({input}): SyncEnvelope => {
+		const {message, refused} = unwrapEnvelope(decodeEnvelope(input));
+		if (refused.length > 0) {
+			logger.logError('peer-record-refused', {peer: message.from, detail: refused.join(', ')});
+		}
+
+		const reply = handler.handleMessage(message);
 		return {...reply, members: reply.members.map(member => encodeMember(member))};
 	}),
 	configuration: builder.procedure.input(checkVersion).mutation(({input}): PackedConfiguration | undefined => {
--- a/src/io/gateway/send-json.ts
+++ b/src/io/gateway/send-json.ts
@@ -16,16 +16,29 @@
 	json(): Promise<unknown>;
 };
 
-/** Sends a JSON request and resolves with the buffered response; rejects when the connection fails or the time limit is exceeded. */
+/** Maximum size of a response body; a page of the registry has at most 1 MB, and a full message of a peer 1 MB. */
+const maxResponseBytes = 8 * 1_048_576;
+
+/** Sends a JSON request and resolves with the buffered response; rejects when the connection fails, or when the time limit or the maximum size is exceeded. */
 export const sendJson = async (url: string, options: JsonCall): Promise<JsonResponse> => new Promise((resolve, reject) => {
 	const {method, body, agent, timeoutMs} = options;
 	const headers = body === undefined ? {} : {'content-type': 'application/json', 'content-length': Buffer.byteLength(body)};
 	const request = openRequest(url, {method, agent, headers}, response => {
 		const chunks: Uint8Array[] = [];
+		let byteCount = 0;
 		response.on('data', (chunk: Uint8Array) => {
+			byteCount += chunk.length;
+			if (byteCount > maxResponseBytes) {
+				response.destroy(new Error(`the response from ${url} is larger than ${maxResponseBytes} bytes`));
+				return;
+			}
+
 			chunks.push(chunk);
 		});
-		response.on('error', reject);
+		response.on('error', error => {
+			clearTimeout(timer);
+			reject(error);
+		});
 		response.on('end', () => {
 			clearTimeout(timer);
 			const status = response.statusCode ?? 0;
--- a/src/io/gateway/sync-client.test.ts
+++ b/src/io/gateway/sync-client.test.ts
@@ -1,6 +1,7 @@
 import {
 	afterEach, describe, expect, it,
 } from 'vitest';
+import {silentLogger} from '../../../test/support/silent-logger.js';
 import type {GatewayConfiguration} from '../../common/gateway/gateway-configuration.js';
 import {MemberState} from '../../common/gateway/member-state.js';
 import type {PublishedConfiguration} from '../../common/gateway/published-configuration.js';
@@ -19,7 +20,7 @@
 	takenNumber: 3,
 	digest: 4,
 	members: [{
-		id: 'a', failureDomain: 'd', dataAddress: 'h:1', peerAddress: 'h:2', cores: 0.5, incarnation: 1, revision: 5, state: MemberState.Running, isServing: true, canRead: false,
+		id: 'a', failureDomain: 'd', dataAddress: '10.0.0.1:1', peerAddress: '10.0.0.1:2', cores: 0.5, incarnation: 1, revision: 5, state: MemberState.Running, isServing: true, canRead: false,
 	}],
 	view: {
 		configuration: 3, configurationAgeMs: 10, targets: 7, targetsAgeMs: 20,
@@ -43,9 +44,9 @@
 	const listener = new HttpListener({}, (request, response) => {
 		void handleCall(request, response);
 	});
-	const client = new SyncClient(meter, disabledMetrics);
+	const client = new SyncClient(meter, disabledMetrics, silentLogger);
 	let published: PublishedConfiguration | undefined;
-	const handleCall = createCallHandler(createSyncRouter({handleMessage: received => ({...received, from: 'b'}), getConfiguration: () => published}));
+	const handleCall = createCallHandler(createSyncRouter({handleMessage: received => ({...received, from: 'b'}), getConfiguration: () => published}, silentLogger));
 
 	const listen = async (): Promise<string> => {
 		const listened = await listener.listen({host: '127.0.0.1', port: 0});
--- a/src/io/gateway/sync-client.ts
+++ b/src/io/gateway/sync-client.ts
@@ -3,10 +3,11 @@
 import type {DisposableLike} from '../../common/disposable-like.js';
 import type {PublishedConfiguration} from '../../common/gateway/published-configuration.js';
 import type {SyncMessage} from '../../common/gateway/sync-message.js';
+import type {Logger} from '../../common/logger.js';
 import type {Metrics} from '../../common/metrics.js';
 import type {ByteMeter} from './byte-meter.js';
 import {createCallLink} from './create-call-link.js';
-import {decodeMember} from './decode-member.js';
+import {decodeEnvelope} from './decode-envelope.js';
 import {encodeMember} from './encode-member.js';
 import {MeteredAgent} from './metered-agent.js';
 import type {SyncRouter} from './sync-router.js';
@@ -23,7 +24,7 @@
 	private readonly _clients = new Map<string, TRPCClient<SyncRouter>>();
 
 	/** @param meter - Counts the bytes that the calls send and receive. */
-	constructor(meter: ByteMeter, private readonly _metrics: Metrics) {
+	constructor(meter: ByteMeter, private readonly _metrics: Metrics, private readonly _logger: Logger) {
 		this._agent = new MeteredAgent({maxSockets: 2, noDelay: true}, meter);
 	}
 
@@ -32,7 +33,13 @@
 		const envelope = {...message, members: message.members.map(member => encodeMember(member))};
 		const result = await fromPromise(this._getClient(peerAddress).sync.mutate(envelope), error => error as Error);
 		this._metrics.countEvent('peer.exchanges', {result: result.isOk() ? 'answered' : 'failed'});
-		return result.map(reply => ({...reply, members: reply.members.map(member => decodeMember(member))}));
+		return result.andThen(reply => decodeEnvelope(reply).mapErr(detail => new Error(detail))).map(({message: reply, refused}) => {
+			if (refused.length > 0) {
+				this._logger.logError('peer-record-refused', {peer: reply.from, detail: refused.join(', ')});
+			}
+
+			return reply;
+		});
 	}
 
 	/** Fetches the configuration that a peer has in force; resolves with undefined when it is not newer than `version`. */
--- a/src/io/platform-client.ts
+++ b/src/io/platform-client.ts
@@ -83,6 +83,21 @@
 		}
 	}
 
+	private async _readText(body: Dispatcher.ResponseData['body']): Promise<string> {
+		const chunks: Uint8Array[] = [];
+		let byteCount = 0;
+		for await (const chunk of body as AsyncIterable<Uint8Array>) {
+			byteCount += chunk.length;
+			if (byteCount > maxResponseBytes) {
+				throw new Error(`response of the configuration service is larger than ${maxResponseBytes} bytes`);
+			}
+
+			chunks.push(chunk);
+		}
+
+		return Buffer.concat(chunks).toString('utf8');
+	}
+
 	private async _decode<T>(response: Dispatcher.ResponseData, decode: (body: unknown, watchIndex: number) => T): Promise<T> {
 		if (response.statusCode !== 200 && response.statusCode !== 404) {
 			await response.body.dump();
@@ -95,10 +110,6 @@
 			return decode(undefined, watchIndex);
 		}
 
-		if (Number(response.headers['content-length'] ?? 0) > maxResponseBytes) {
-			throw new Error(`response of the configuration service is larger than ${maxResponseBytes} bytes`);
-		}
-
-		return decode(await response.body.json(), watchIndex);
+		return decode(JSON.parse(await this._readText(response.body)) as unknown, watchIndex);
 	}
 }
--- a/src/policy/gateway/classify-response.test.ts
+++ b/src/policy/gateway/classify-response.test.ts
@@ -1,11 +1,8 @@
 import {describe, expect, it} from 'vitest';
+import {gatewayHeaders as headers} from '../../../test/support/gateway-headers.js';
 import {AttemptEnd} from '../../common/gateway/attempt-end.js';
 import {classifyResponse} from './classify-response.js';
 
-const headers = {
-	requestId: 'x-id', timeoutMs: 'x-timeout', signature: 'x-signature', expectedTarget: 'x-target', targetId: 'x-target-id', load: 'x-load', notRun: 'x-not-run',
-};
-
 describe('classifyResponse', () => {
 	it.each([
 		['a success', 200, ['X-Id', 'a', 'X-Signature', 's'], AttemptEnd.Answered],
--- a/src/policy/gateway/compute-saturation-factor.ts
+++ b/src/policy/gateway/compute-saturation-factor.ts
@@ -1,5 +1,6 @@
-/** Utilization, including the new request, above which a target runs a request more slowly, and the slowdown; see docs/design/platform.md. */
-const saturationThreshold = 0.8;
+import {saturationThreshold} from './saturation-threshold.js';
+
+/** Slowdown above the saturation threshold; see docs/design/platform.md. */
 const saturationSlowdown = 1.7;
 
 /**
--- a/src/policy/gateway/request-queue.ts
+++ b/src/policy/gateway/request-queue.ts
@@ -34,6 +34,16 @@
 		}
 	}
 
+	/** Removes and returns the requests for which a condition holds. */
+	takeMatching(matches: (item: T) => boolean): T[] {
+		const matching = this._items.filter(item => matches(item));
+		for (const item of matching) {
+			this.remove(item);
+		}
+
+		return matching;
+	}
+
 	/** @param earliestEnd - Earliest time at which a request started now would end, in ms; requests with an objective before it are late. */
 	take(earliestEnd: number): T | undefined {
 		this._takenCount++;
--- a/test/observability-page.test.ts
+++ b/test/observability-page.test.ts
@@ -4,10 +4,10 @@
 import {projectRoot} from '../tools/site/project-root.js';
 
 const page = readFileSync(path.join(projectRoot, 'docs/OBSERVABILITY.md'), 'utf8');
-const source = readdirSync(path.join(projectRoot, 'src'), {recursive: true, encoding: 'utf8'})
+const readSources = (folder: string): string[] => readdirSync(path.join(projectRoot, folder), {recursive: true, encoding: 'utf8'})
 	.filter(file => file.endsWith('.ts') && !file.endsWith('.test.ts'))
-	.map(file => readFileSync(path.join(projectRoot, 'src', file), 'utf8'))
-	.join('\n');
+	.map(file => readFileSync(path.join(projectRoot, folder, file), 'utf8'));
+const source = [...readSources('src'), ...readSources('platform')].join('\n');
 
 const listNamesInSource = (pattern: RegExp): string[] => [...new Set([...source.matchAll(pattern)].map(match => match.groups?.name ?? ''))].sort();
 const listNamesInPage = (heading: string): string[] => {
--- a/tools/load/experiments/peer-calls.ts
+++ b/tools/load/experiments/peer-calls.ts
@@ -8,6 +8,7 @@
 import {createSyncRouter} from '../../../src/io/gateway/create-sync-router.js';
 import {SyncClient} from '../../../src/io/gateway/sync-client.js';
 import {HttpListener} from '../../../src/io/http-listener.js';
+import {silentLogger} from '../../../test/support/silent-logger.js';
 import type {ExperimentContext} from '../experiment-context.js';
 import type {Experiment} from '../experiment.js';
 import type {ArmResult} from '../report/arm-result.js';
@@ -37,7 +38,7 @@
 
 type Handler = ReturnType<typeof createCallHandler> | ReturnType<typeof createHTTPHandler>;
 
-const router = createSyncRouter({handleMessage: received => received, getConfiguration: () => undefined});
+const router = createSyncRouter({handleMessage: received => received, getConfiguration: () => undefined}, silentLogger);
 
 const createHandlerListener = (handle: Handler) => new HttpListener({keepAliveTimeout: 30_000}, (request, response) => {
 	void handle(request, response);
@@ -51,7 +52,7 @@
 		throw listenResult.error;
 	}
 
-	const client = context.store.add(new SyncClient(new ByteMeter(), disabledMetrics));
+	const client = context.store.add(new SyncClient(new ByteMeter(), disabledMetrics, silentLogger));
 	const sendCalls = async (count: number) => {
 		for (let call = 0; call < count; call++) {
 			const exchangeResult = await client.exchange(`127.0.0.1:${listener.port}`, message);
