--- a/src/controllers/gateway/placement-request.ts
+++ b/src/controllers/gateway/placement-request.ts
@@ -1,5 +1,7 @@
+import type {TargetCriteria} from './target-criteria.js';
+
 /** A request to be placed at a target, with the limits within which it has to be served. */
-export type PlacementRequest = {
+export type PlacementRequest = TargetCriteria & {
 	readonly service: string;
 	/** Rank among the routes of the service; 0 is the highest priority. */
 	readonly priority: number;
@@ -7,8 +9,6 @@
 	readonly objectiveAt: number;
 	/** Time by which the response must be complete, on the instance's clock, in ms. */
 	readonly deadlineAt: number;
-	/** Ids of targets that must not be chosen, since they have had an attempt of the request. */
-	readonly excludedTargets: readonly string[];
 	/** Cancels the wait when it aborts; its reason is a RequestError. */
 	readonly signal: AbortSignal;
 };
--- a/src/controllers/gateway/registry-reader-rules.test.ts
+++ b/src/controllers/gateway/registry-reader-rules.test.ts
@@ -9,6 +9,7 @@
 const source: SiteRegistry = {
 	readConfiguration: async () => Promise.race([]),
 	waitForChange: async () => Promise.race([]),
+	waitForTargetChanges: async () => Promise.race([]),
 	readTargets: async () => Promise.race([]),
 };
 
--- a/src/controllers/gateway/registry-reader.test.ts
+++ b/src/controllers/gateway/registry-reader.test.ts
@@ -38,6 +38,7 @@
 					resolve(ok(true));
 				};
 			}),
+			waitForTargetChanges: async () => Promise.race([]),
 			readTargets: async () => ok({revision: 1, targets: [gatewayTarget]}),
 		};
 		const view = new SiteView({clock, logger: silentLogger});
--- a/src/controllers/gateway/registry-reader.ts
+++ b/src/controllers/gateway/registry-reader.ts
@@ -3,6 +3,7 @@
 import type {Clock} from '../../common/clock.js';
 import type {DisposableLike} from '../../common/disposable-like.js';
 import type {SiteRegistry} from '../../common/gateway/site-registry.js';
+import {RegistryFailure} from '../../common/gateway/registry-failure.js';
 import type {RegistryError} from '../../common/gateway/registry-error.js';
 import type {Logger} from '../../common/logger.js';
 import type {Metrics} from '../../common/metrics.js';
@@ -31,8 +32,6 @@
 	readonly configurationChangeMs: number;
 };
 
-/** Interval between two reads of the list of targets, in ms. Even when the reader is lost, a change is known within the 2 s in which a leaving target must no longer be used. */
-const readIntervalMs = 1000;
 /** Age of the list above which a standby reader reads it, as a fraction of the time within which a change has to be active. */
 const standbyAgeShare = 0.6;
 /** The same fraction for all other instances. */
@@ -135,18 +134,47 @@
 
 			const startedAt = clock.now();
 			const read = await source.readTargets();
-			this._countRead('targets', read);
-			if (read.isOk()) {
-				this._recordSuccess();
-				this._options.metrics.recordGauge('registry.refused_records', read.value.refusedCount ?? 0);
-				view.offerTargets(read.value, clock.now() - startedAt);
-			} else {
-				this._recordFailure('targets', read.error);
+			this._noteTargetRead('targets', read);
+			if (read.isErr()) {
+				await this._pause(this._backoffMs);
+				continue;
+			}
+
+			this._options.metrics.recordGauge('registry.refused_records', read.value.refusedCount ?? 0);
+			view.offerTargets(read.value, clock.now() - startedAt);
+			await this._watchTargets();
+		}
+	}
+
+	/** Applies changes of the targets until this instance no longer has to read, or until the complete list has to be read again. */
+	private async _watchTargets(): Promise<void> {
+		const {source, view} = this._options;
+		while (this.checkReading() && !this._abortController.signal.aborted) {
+			const waited = await source.waitForTargetChanges();
+			this._noteTargetRead('target-changes', waited);
+			if (waited.isErr()) {
+				if (waited.error.failure === RegistryFailure.HistoryLost) {
+					return;
+				}
+
+				await this._pause(this._backoffMs);
+			} else if (!view.offerTargetEvents(waited.value)) {
+				return;
+			} else if (waited.value.changed.length + waited.value.removed.length > 0) {
+				await this._pause(changePauseMs);
 			}
+		}
+	}
 
-			this._options.onRead(read.isOk() && this._canReadConfiguration);
-			await this._pause(read.isOk() ? readIntervalMs : this._backoffMs);
+	private _noteTargetRead(subject: string, read: Result<unknown, RegistryError>): void {
+		this._countRead(subject, read);
+		if (read.isOk()) {
+			this._recordSuccess();
+		} else {
+			this._recordFailure(subject, read.error);
 		}
+
+		this._options.onRead(read.isOk() && this._canReadConfiguration);
 	}
 
 	private async _runConfigurationLoop(): Promise<void> {
--- a/src/controllers/gateway/service-placer.test.ts
+++ b/src/controllers/gateway/service-placer.test.ts
@@ -26,7 +26,7 @@
 	let placer: ServicePlacer;
 
 	const createRequest = (fields: Partial<PlacementRequest> = {}): PlacementRequest => ({
-		service: 's', priority: 1, objectiveAt: 400, deadlineAt: 3000, excludedTargets: [], signal: new AbortController().signal, ...fields,
+		service: 's', priority: 1, objectiveAt: 400, deadlineAt: 3000, excludedTargets: [], bodyBytes: 0, signal: new AbortController().signal, ...fields,
 	});
 
 	const describeResult = (result: Result<TargetLease, RequestError>): string => result.match(({target}) => target.id, ({kind}) => kind);
--- a/src/controllers/gateway/service-placer.ts
+++ b/src/controllers/gateway/service-placer.ts
@@ -85,7 +85,7 @@
 			return undefined;
 		}
 
-		const choice = await this._options.pool.chooseWithProbes(request.excludedTargets);
+		const choice = await this._options.pool.chooseWithProbes(request);
 		return choice?.isIdle ? this._options.pool.grant(choice) : undefined;
 	}
 
@@ -95,7 +95,7 @@
 		this._refuseHopeless();
 		const unplaced: Waiter[] = [];
 		for (let waiter = this._takeNext(); waiter !== undefined; waiter = this._takeNext()) {
-			const choice = pool.chooseFromReports(waiter.request.excludedTargets);
+			const choice = pool.chooseFromReports(waiter.request);
 			if (choice !== undefined && this._isAcceptable(choice, waiter)) {
 				waiter.settle(ok(pool.grant(choice)));
 			} else if (this._probingCount < maxProbingRequests && (!waiter.hasProbed || clock.now() >= this._recheckAt)) {
@@ -188,7 +188,7 @@
 	private async _placeWithProbes(waiter: Waiter): Promise<void> {
 		const {clock, pool} = this._options;
 		this._probingCount++;
-		const choice = await pool.chooseWithProbes(waiter.request.excludedTargets);
+		const choice = await pool.chooseWithProbes(waiter.request);
 		this._probingCount--;
 		waiter.hasProbed = true;
 		if (waiter.isSettled) {
--- a/src/controllers/gateway/site-view.ts
+++ b/src/controllers/gateway/site-view.ts
@@ -5,6 +5,7 @@
 import type {GatewayTarget} from '../../common/gateway/gateway-target.js';
 import type {TargetChanges} from '../../common/gateway/target-changes.js';
 import type {TargetList} from '../../common/gateway/target-list.js';
+import type {RevisedTargetChanges} from '../../common/gateway/revised-target-changes.js';
 import type {TargetIncarnation} from '../../common/gateway/target-incarnation.js';
 import type {ViewVersion} from '../../common/gateway/view-version.js';
 import type {Logger} from '../../common/logger.js';
@@ -139,6 +140,22 @@
 		this._fireTargetEvents(confirmedBefore, hasChanged);
 	}
 
+	/** Applies changes of the targets that the registry has just reported; returns false when the complete list has to be read. */
+	offerTargetEvents({revision, ...changes}: RevisedTargetChanges): boolean {
+		const confirmedBefore = this._targetsConfirmedAt;
+		const hasChanged = this._table.applyEvents(changes, revision, this._options.clock.now());
+		if (hasChanged === undefined) {
+			return false;
+		}
+
+		if (revision >= this._table.completeRevision) {
+			this._confirmTargets(0);
+		}
+
+		this._fireTargetEvents(confirmedBefore, hasChanged);
+		return true;
+	}
+
 	/**
 	Applies a peer's view: confirmations of the values that both hold, and the announcement of a newer configuration.
 	@param changes - Changes of the list of targets that the peer sent along, if any.
--- a/src/controllers/gateway/target-pool.test.ts
+++ b/src/controllers/gateway/target-pool.test.ts
@@ -14,6 +14,7 @@
 	running: 0, waiting: 0, slots: 6, slowdown: 1,
 };
 
+const anyTarget = {excludedTargets: [], bodyBytes: 0};
 const silentReport: TargetReport = {load: undefined, isLeaving: false, pauseMs: 0};
 
 describe('TargetPool', () => {
@@ -75,35 +76,46 @@
 	] as const)('chooses %s', async (_name, reported, chosen, probed) => {
 		loads = new Map(Object.entries(reported));
 		pool = createPool(['a-1', 'b-1']);
-		const choice = await pool.chooseWithProbes([]);
+		const choice = await pool.chooseWithProbes(anyTarget);
 		expect(choice?.pooledTarget.record.target.id).toBe(chosen);
 		expect(probedIds).toEqual(probed);
 	});
 
+	it.each([
+		['its own domain for a large body although it is slower', 60_000, 1.5, 'a-1'],
+		['another domain for a large body that its own would delay by much', 60_000, 4, 'b-1'],
+		['another domain for a small body', 500, 1.5, 'b-1'],
+	])('chooses a target of %s', async (_name, bodyBytes, slowdown, chosen) => {
+		loads = new Map([['a-1', {...idle, slowdown}], ['b-1', idle]]);
+		pool = createPool(['a-1', 'b-1']);
+		const choice = await pool.chooseWithProbes({excludedTargets: [], bodyBytes});
+		expect(choice?.pooledTarget.record.target.id).toBe(chosen);
+	});
+
 	it('does not choose a target with an old report when the probe budget is exhausted', async () => {
 		loads.set('a-1', idle);
 		pool = createPool(['a-1'], 0.1);
-		const known = await pool.chooseWithProbes([]);
+		const known = await pool.chooseWithProbes(anyTarget);
 		expect(known?.hasFreeSlot).toBe(true);
 		now += 500;
-		expect(await pool.chooseWithProbes([])).toBeUndefined();
+		expect(await pool.chooseWithProbes(anyTarget)).toBeUndefined();
 		expect(probedIds).toHaveLength(1);
 	});
 
 	it('does not probe a target again that has just reported no free slot', async () => {
 		loads.set('a-1', {...idle, running: 6});
 		pool = createPool(['a-1']);
-		await pool.chooseWithProbes([]);
+		await pool.chooseWithProbes(anyTarget);
 		now += 20;
-		await pool.chooseWithProbes([]);
+		await pool.chooseWithProbes(anyTarget);
 		expect(probedIds).toHaveLength(1);
 		now += 100;
-		await pool.chooseWithProbes([]);
+		await pool.chooseWithProbes(anyTarget);
 		expect(probedIds).toHaveLength(2);
 	});
 
 	const grantTo = async (id: string) => {
-		const choice = await pool.chooseWithProbes([]);
+		const choice = await pool.chooseWithProbes(anyTarget);
 		if (choice?.pooledTarget.record.target.id !== id) {
 			throw new Error(`${id} was not chosen`);
 		}
@@ -118,7 +130,7 @@
 		}],
 		['a probe', async () => {
 			reports.set('a-1', {pauseMs: 2000});
-			await pool.chooseWithProbes([]);
+			await pool.chooseWithProbes(anyTarget);
 		}],
 	])('neither chooses nor probes a target that asked for a pause in %s, also when it is listed again', async (_name, askForPause) => {
 		loads.set('a-1', idle);
@@ -132,12 +144,12 @@
 		}]);
 		now += 1999;
 		expect(pool.computePauseMs([])).toBe(1);
-		expect(pool.chooseFromReports([])).toBeUndefined();
-		expect(await pool.chooseWithProbes([])).toBeUndefined();
+		expect(pool.chooseFromReports(anyTarget)).toBeUndefined();
+		expect(await pool.chooseWithProbes(anyTarget)).toBeUndefined();
 		expect(probedIds).toEqual([]);
 		now += 1;
 		expect(pool.computePauseMs([])).toBe(0);
-		expect(await pool.chooseWithProbes([])).toBeDefined();
+		expect(await pool.chooseWithProbes(anyTarget)).toBeDefined();
 	});
 
 	it.each([
@@ -164,7 +176,7 @@
 		}],
 		['a probe', async () => {
 			reports.set('a-1', {isLeaving: true});
-			await pool.chooseWithProbes([]);
+			await pool.chooseWithProbes(anyTarget);
 		}],
 	])('reports a target that announces in %s that it is leaving', async (_name, announce) => {
 		loads.set('a-1', idle);
@@ -176,16 +188,16 @@
 	it('does not count a completed request in the load report of its response', async () => {
 		loads.set('a-1', {...idle, running: 3});
 		pool = createPool(['a-1']);
-		const choice = await pool.chooseWithProbes([]);
+		const choice = await pool.chooseWithProbes(anyTarget);
 		if (choice === undefined) {
 			throw new Error('no target was chosen');
 		}
 
 		const lease = pool.grant(choice);
-		expect(pool.chooseFromReports([])).toBeUndefined();
+		expect(pool.chooseFromReports(anyTarget)).toBeUndefined();
 		now += 200;
 		lease.release(AttemptEnd.Answered, {...silentReport, load: {...idle, running: 4}});
-		expect(pool.chooseFromReports([])?.hasFreeSlot).toBe(true);
+		expect(pool.chooseFromReports(anyTarget)?.hasFreeSlot).toBe(true);
 		expect(pool.inFlight).toBe(0);
 	});
 });
--- a/src/controllers/gateway/target-pool.ts
+++ b/src/controllers/gateway/target-pool.ts
@@ -12,6 +12,7 @@
 import {TargetRecord} from '../../policy/gateway/target-record.js';
 import type {ServiceTimeAverages} from '../../policy/gateway/service-time-averages.js';
 import {LoadRefresher} from './load-refresher.js';
+import type {TargetCriteria} from './target-criteria.js';
 import type {TargetChoice} from './target-choice.js';
 import type {TargetLease} from './target-lease.js';
 import type {PooledTarget} from './pooled-target.js';
@@ -152,21 +153,21 @@
 	}
 
 	/** Chooses the best target by recent load reports, without probes; undefined when none is known to have a free slot. */
-	chooseFromReports(excludedTargets: readonly string[]): TargetChoice | undefined {
-		return this._chooseBest(this._listCandidates(excludedTargets));
+	chooseFromReports(criteria: TargetCriteria): TargetChoice | undefined {
+		return this._chooseBest(this._listCandidates(criteria), criteria);
 	}
 
 	/** Chooses the best target with probes: in batches, the most promising first, until one is idle; undefined when none has a free slot. */
-	async chooseWithProbes(excludedTargets: readonly string[]): Promise<TargetChoice | undefined> {
+	async chooseWithProbes(criteria: TargetCriteria): Promise<TargetChoice | undefined> {
 		const now = this._options.clock.now();
-		const candidates = this._listCandidates(excludedTargets).filter(pooledTarget => !this._rater.isKnownBusy(pooledTarget, now)).slice(0, maxProbedTargets);
+		const candidates = this._listCandidates(criteria).filter(pooledTarget => !this._rater.isKnownBusy(pooledTarget, now)).slice(0, maxProbedTargets);
 		let probedCount = 0;
-		let best = this._chooseBest(candidates);
+		let best = this._chooseBest(candidates, criteria);
 		while (this._rater.reportsLoad !== false && probedCount < candidates.length && best?.isIdle !== true) {
 			const batch = this._sliceBatch(candidates, probedCount);
 			probedCount += batch.length;
 			await this._loadRefresher.refreshAll(batch);
-			best = this._chooseBest(candidates);
+			best = this._chooseBest(candidates, criteria);
 		}
 
 		return best;
@@ -231,12 +232,12 @@
 		return firstRemote > 0 ? batch.slice(0, firstRemote) : batch;
 	}
 
-	private _chooseBest(candidates: readonly PooledTarget[]): TargetChoice | undefined {
+	private _chooseBest(candidates: readonly PooledTarget[], {bodyBytes}: TargetCriteria): TargetChoice | undefined {
 		const now = this._options.clock.now();
 		let best: TargetChoice | undefined;
 		for (const pooledTarget of candidates) {
 			const isAvailable = !pooledTarget.isRemoved && this._pauses.getRemainingMs(pooledTarget.key, now) === 0;
-			const choice = isAvailable && (!pooledTarget.record.isUnhealthy(now) || this._areAllUnhealthy(now)) ? this._rater.rate(pooledTarget, now) : undefined;
+			const choice = isAvailable && (!pooledTarget.record.isUnhealthy(now) || this._areAllUnhealthy(now)) ? this._rater.rate(pooledTarget, now, bodyBytes) : undefined;
 			if (choice?.hasFreeSlot && (best === undefined || choice.estimateMs < best.estimateMs)) {
 				best = choice;
 			}
@@ -246,7 +247,7 @@
 	}
 
 	/** Lists the targets that may have a free slot, the most promising first. */
-	private _listCandidates(excludedTargets: readonly string[]): PooledTarget[] {
+	private _listCandidates({excludedTargets}: TargetCriteria): PooledTarget[] {
 		const {clock, random} = this._options;
 		const now = clock.now();
 		const all = [...this._pooledTargets.values()].filter(({key, record}) => !excludedTargets.includes(record.target.id) && this._pauses.getRemainingMs(key, now) === 0);
--- a/src/controllers/gateway/target-rater.ts
+++ b/src/controllers/gateway/target-rater.ts
@@ -11,6 +11,8 @@
 const maxHintAgeMs = 200;
 /** Penalty on the rank of a target in another failure domain, as a factor of the usual time. */
 const remoteCost = 1;
+/** Time that a kilobyte of a request body counts for a target in another failure domain, in ms: a large body goes there only when that saves much time. */
+const remoteMsPerKilobyte = 2;
 /** Penalty on the rank of a target without an idle connection, as a factor of the usual time, since new connections have a cost. */
 const connectCost = 0.25;
 /** Expected duration up to which a target with a free slot counts as idle, as a factor of the usual time. */
@@ -95,8 +97,9 @@
 	/**
 	Rates a target by its report if that is recent, or by this instance's requests in flight while no target has reported its load; undefined when the
 	target's load is not known.
+	@param bodyBytes - Size of the request body; a transfer to another failure domain has a cost, which counts as time.
 	*/
-	rate(pooledTarget: PooledTarget, now: number): TargetChoice | undefined {
+	rate(pooledTarget: PooledTarget, now: number, bodyBytes: number): TargetChoice | undefined {
 		const {record} = pooledTarget;
 		const reported = record.getLoad(now);
 		const isKnown = reported !== undefined && reported.ageMs <= maxKnownAgeMs;
@@ -108,12 +111,13 @@
 		const {inFlight} = record;
 		const expectedSlowdown = computeExpectedSlowdown({load, inFlight, isWarming: record.isWarming(now)});
 		const durationRatio = record.getDurationRatio(now);
-		const estimateMs = estimateDuration({
+		const transferMs = this.isLocal(pooledTarget) ? 0 : bodyBytes / 1000 * remoteMsPerKilobyte;
+		const estimateMs = transferMs + estimateDuration({
 			load, inFlight, usualMs: this.serviceTimes.usualMs, expectedSlowdown, durationRatio, failureRate: record.failureRate,
 		});
 		const hasFreeSlot = Math.max(load.running + load.waiting, inFlight) < computeConcurrencyLimit(load.slots);
 		return {
-			pooledTarget, estimateMs, hasFreeSlot, isIdle: hasFreeSlot && expectedSlowdown * durationRatio <= idleFactor,
+			pooledTarget, estimateMs, hasFreeSlot, isIdle: hasFreeSlot && (expectedSlowdown * durationRatio) + (transferMs / this.serviceTimes.usualMs) <= idleFactor,
 		};
 	}
 
--- a/src/filters/gateway/retry-filter.ts
+++ b/src/filters/gateway/retry-filter.ts
@@ -118,7 +118,7 @@
 
 	private _createPlacementRequest(context: GatewayContext, route: GatewayRoute, signal: AbortSignal): PlacementRequest {
 		return {
-			service: context.service, priority: route.priority, objectiveAt: context.objectiveAt, deadlineAt: context.deadlineAt, excludedTargets: context.attemptedTargets, signal,
+			service: context.service, priority: route.priority, objectiveAt: context.objectiveAt, deadlineAt: context.deadlineAt, excludedTargets: context.attemptedTargets, bodyBytes: context.body.length, signal,
 		};
 	}
 
--- a/src/policy/gateway/target-table.test.ts
+++ b/src/policy/gateway/target-table.test.ts
@@ -56,6 +56,33 @@
 		expect(describeTargets(table)).toEqual(held);
 	});
 
+	it.each([
+		{
+			name: 'a new record', changes: {since: 5, changed: [createTarget('b', 8)], removed: []}, held: ['a false', 'b false'], result: true,
+		},
+		{
+			name: 'a removal', changes: {since: 5, changed: [], removed: [['a', 8]] as const}, held: [], result: true,
+		},
+		{
+			name: 'nothing but a later revision', changes: {since: 5, changed: [], removed: []}, held: ['a false'], result: false,
+		},
+		{
+			name: 'events that the list holds in part', changes: {since: 3, changed: [createTarget('a', 4), createTarget('b', 8)], removed: [['c', 4]] as const}, held: ['a false', 'b false'], result: true,
+		},
+		{
+			name: 'a removal before the current record', changes: {since: 3, changed: [], removed: [['a', 3]] as const}, held: ['a false'], result: false,
+		},
+		{
+			name: 'events after a gap', changes: {since: 7, changed: [createTarget('b', 8)], removed: []}, held: ['a false'], result: undefined,
+		},
+	])('applies $name from a watch of the registry', ({changes, held, result}) => {
+		const table = new TargetTable();
+		table.applyList({revision: 5, targets: [createTarget('a', 4)]}, 0);
+		expect(table.applyEvents(changes, 9, 0)).toBe(result);
+		expect(describeTargets(table)).toEqual(held);
+		expect(table.completeRevision).toBe(result === undefined ? 5 : 9);
+	});
+
 	it('reduces the warm-up time in changes by the time since the record was stored', () => {
 		const table = new TargetTable();
 		table.applyList({revision: 5, targets: [createTarget('a', 4)]}, 1000);
@@ -64,7 +91,7 @@
 
 	it('matches the registry at its revision, with two readers and messages in any order', () => {
 		const step = fc.record({
-			action: fc.constantFrom('write', 'remove', 'read', 'tell', 'tell'),
+			action: fc.constantFrom('write', 'remove', 'read', 'watch', 'watch', 'tell', 'tell'),
 			id: fc.constantFrom('a', 'b', 'c', 'd'),
 			isLeaving: fc.boolean(),
 			from: fc.integer({min: 0, max: 3}),
@@ -74,6 +101,8 @@
 			const tables = Array.from({length: 4}, () => new TargetTable());
 			const registry = new Map<string, GatewayTarget>();
 			const states = new Map<number, string[]>();
+			const events: Array<{id: string; revision: number; target: GatewayTarget | undefined}> = [];
+			const watchedRevisions = [0, 0];
 			let revision = 1;
 			for (const {action, id, isLeaving, from, to} of steps) {
 				const table = tables[from];
@@ -85,8 +114,18 @@
 					} else {
 						registry.delete(id);
 					}
+
+					events.push({id, revision, target: registry.get(id)});
 				} else if (action === 'read' && from < 2) {
 					table?.applyList({revision, targets: [...registry.values()]}, 0);
+					watchedRevisions[from] = revision;
+				} else if (action === 'watch' && (watchedRevisions[from] ?? 0) > 0) {
+					const since = watchedRevisions[from] ?? 0;
+					const latest = new Map(events.filter(event => event.revision > since).map(event => [event.id, event]));
+					const changed = [...latest.values()].flatMap(({target}) => target ?? []);
+					const removed = [...latest.values()].filter(({target}) => target === undefined).map(event => [event.id, event.revision] as const);
+					expect(table?.applyEvents({since, changed, removed}, revision, 0)).toBeDefined();
+					watchedRevisions[from] = revision;
 				} else if (action === 'tell' && table !== undefined && receiver !== undefined && table.completeRevision > 0) {
 					receiver.applyChanges(table.collectChanges(receiver.completeRevision, 0), table.completeRevision, 0);
 				}
--- a/src/policy/gateway/target-table.ts
+++ b/src/policy/gateway/target-table.ts
@@ -68,6 +68,32 @@
 			return undefined;
 		}
 
+		return this._merge({since, changed, removed}, peerRevision, now);
+	}
+
+	/**
+	Applies changes that the registry reported; returns whether they changed the list, or undefined when they start after the current list's
+	revision. Changes that the list holds already, since a peer sent them, have no effect.
+	@param revision - Registry revision up to which the changes are complete.
+	*/
+	applyEvents(changes: TargetChanges, revision: number, now: number): boolean | undefined {
+		if (changes.since > this._completeRevision) {
+			return undefined;
+		}
+
+		return revision <= this._completeRevision ? false : this._merge(changes, revision, now);
+	}
+
+	/** Collects the changes for a peer whose list is complete up to a revision. */
+	collectChanges(revision: number, now: number): TargetChanges {
+		const since = this._completeRevisions.has(revision) ? revision : 0;
+		const changed = [...this._entries.values()]
+			.filter(({target}) => target.revision > since)
+			.map(({target, heldSince}) => ({...target, warmUpLeftMs: Math.max(0, Math.round(target.warmUpLeftMs - (now - heldSince)))}));
+		return {since, changed, removed: since === 0 ? [] : [...this._removals].filter(([, removalRevision]) => removalRevision > since)};
+	}
+
+	private _merge({since, changed, removed}: TargetChanges, revision: number, now: number): boolean {
 		let hasChanged = false;
 		for (const target of changed) {
 			const current = this._entries.get(target.id)?.target;
@@ -78,26 +104,17 @@
 			}
 		}
 
-		for (const [id, revision] of since === 0 ? this._listMissing(changed, peerRevision) : removed) {
-			if ((this._entries.get(id)?.target.revision ?? Number.POSITIVE_INFINITY) <= revision) {
-				this._remove(id, revision);
+		for (const [id, removalRevision] of since === 0 ? this._listMissing(changed, revision) : removed) {
+			if ((this._entries.get(id)?.target.revision ?? Number.POSITIVE_INFINITY) <= removalRevision) {
+				this._remove(id, removalRevision);
 				hasChanged = true;
 			}
 		}
 
-		this._markComplete(peerRevision);
+		this._markComplete(revision);
 		return hasChanged;
 	}
 
-	/** Collects the changes for a peer whose list is complete up to a revision. */
-	collectChanges(revision: number, now: number): TargetChanges {
-		const since = this._completeRevisions.has(revision) ? revision : 0;
-		const changed = [...this._entries.values()]
-			.filter(({target}) => target.revision > since)
-			.map(({target, heldSince}) => ({...target, warmUpLeftMs: Math.max(0, Math.round(target.warmUpLeftMs - (now - heldSince)))}));
-		return {since, changed, removed: since === 0 ? [] : [...this._removals].filter(([, removalRevision]) => removalRevision > since)};
-	}
-
 	private _listMissing(targets: readonly GatewayTarget[], peerRevision: number): Array<[string, number]> {
 		const listed = new Set(targets.map(({id}) => id));
 		return [...this._entries.keys()].filter(id => !listed.has(id)).map(id => [id, peerRevision]);
