Update only what a change of the targets concerns, and tell peers of every listed target that is leaving

Each change of a record reached every instance as a change of the list, warm-up included, and each instance then filtered all 462 targets for each service and rebuilt all pools. The readers were found by sorting the whole fleet at each change of a member. Change: a record of which only the warm-up has gone on is no change; a pool is updated only when its own targets have changed; three readers are picked in one pass; peers are told of the leaving targets as long as they are listed.

--- a/src/common/gateway/sync-message.ts
+++ b/src/common/gateway/sync-message.ts
@@ -17,6 +17,6 @@
 	readonly members: readonly GatewayMember[];
 	readonly view: ViewVersion;
 	readonly targets?: TargetChanges;
-	/** Targets that announced lately in a response that they are leaving. */
+	/** Listed targets that have announced in a response that they are leaving. */
 	readonly leaving?: readonly TargetIncarnation[];
 };
--- a/src/controllers/gateway/member-controller.ts
+++ b/src/controllers/gateway/member-controller.ts
@@ -9,7 +9,7 @@
 import type {SyncMessage} from '../../common/gateway/sync-message.js';
 import type {Logger} from '../../common/logger.js';
 import type {SyncClient} from '../../io/gateway/sync-client.js';
-import {sortReaders} from '../../policy/gateway/sort-readers.js';
+import {pickReaders} from '../../policy/gateway/pick-readers.js';
 import {MemberTable} from '../../policy/gateway/member-table.js';
 import {NeighbourChooser} from '../../policy/gateway/neighbour-chooser.js';
 import {refuteRecord} from '../../policy/gateway/refute-record.js';
@@ -95,7 +95,7 @@
 	/** Whether this instance is a standby reader, one of the next to read the registry when the reader is lost. */
 	get isStandbyReader(): boolean {
 		this._updateTopology();
-		return this._readers.slice(1, 1 + standbyReaderCount).some(({id}) => id === this._options.self.id);
+		return this._readers.slice(1).some(({id}) => id === this._options.self.id);
 	}
 
 	/** Number of the last change of the member table; grows with each change. */
@@ -203,7 +203,7 @@
 			this._topologyChangeNumber = this._table.changeNumber;
 			const running = this._table.listRunning();
 			this._neighbours = this._chooser.chooseNeighbours(running);
-			this._readers = sortReaders(running);
+			this._readers = pickReaders(running, 1 + standbyReaderCount);
 			this._localCount = this._table.countNotLeft(this._options.self.failureDomain);
 		}
 	}
@@ -399,7 +399,7 @@
 		const isPeerKnown = link !== undefined && link.lastMessageAt > Number.NEGATIVE_INFINITY;
 		// A peer from which no message has come may have all records already; its response shows what it lacks.
 		const members = isPeerKnown ? this._table.listChanges(link.acknowledgedNumber, peerId ?? '') : (current === undefined ? [] : [current]);
-		const leaving = view.recentlyLeaving;
+		const leaving = view.leavingTargets;
 		const sendsTargets = isPeerKnown && version.targets > link.view.targets;
 		return {
 			from: self.id,
--- a/src/controllers/gateway/placement-controller.ts
+++ b/src/controllers/gateway/placement-controller.ts
@@ -3,6 +3,7 @@
 import type {DisposableLike} from '../../common/disposable-like.js';
 import {ErrorKind} from '../../common/error-kind.js';
 import type {GatewayService} from '../../common/gateway/gateway-service.js';
+import type {GatewayTarget} from '../../common/gateway/gateway-target.js';
 import type {GatewaySettings} from '../../common/gateway/gateway-settings.js';
 import type {HeaderVocabulary} from '../../common/gateway/header-vocabulary.js';
 import type {Metrics} from '../../common/metrics.js';
@@ -28,7 +29,13 @@
 	readonly share: Pick<FleetShare, 'divide' | 'divideWindowLimit'>;
 };
 
-type ServiceState = {readonly pool: TargetPool; readonly placer: ServicePlacer; readonly retryBudget: RetryBudget};
+type ServiceState = {
+	readonly pool: TargetPool;
+	readonly placer: ServicePlacer;
+	readonly retryBudget: RetryBudget;
+	/** The targets of the service in the last list. */
+	targets: readonly GatewayTarget[];
+};
 
 /** The largest buffered response is the memory limit divided by this: responses are buffered whole, some tens at a time, beside heap and sockets. */
 const responseMemoryDivisor = 64;
@@ -106,12 +113,27 @@
 			}
 		}
 
+		const targetsByService = new Map<string, GatewayTarget[]>();
+		for (const target of view.targets) {
+			const targets = targetsByService.get(target.service);
+			if (targets === undefined) {
+				targetsByService.set(target.service, [target]);
+			} else {
+				targets.push(target);
+			}
+		}
+
 		for (const service of services.values()) {
 			const state = this._services.get(service.name) ?? this._createService(service);
 			this._services.set(service.name, state);
 			state.pool.setService(service);
-			state.pool.update(view.targets.filter(target => target.service === service.name));
-			state.placer.placeWaiting();
+			const targets = targetsByService.get(service.name) ?? [];
+			// Most changes concern few services, and an update costs time for each target.
+			if (targets.length !== state.targets.length || targets.some((target, index) => target !== state.targets[index])) {
+				state.targets = targets;
+				state.pool.update(targets);
+				state.placer.placeWaiting();
+			}
 		}
 	}
 
@@ -139,6 +161,7 @@
 		return {
 			pool,
 			placer,
+			targets: [],
 			retryBudget: new RetryBudget({ratio: limits.retryRatio * retryRatioShare, getSlack: () => share.divideWindowLimit(limits.retrySlack), windowMs: limits.retryWindowMs}),
 		};
 	}
--- a/src/controllers/gateway/site-view.ts
+++ b/src/controllers/gateway/site-view.ts
@@ -27,6 +27,8 @@
 	private readonly _onVersionChange = new Emitter<ViewVersion>();
 	private readonly _table = new TargetTable();
 	private readonly _leavingTargets = new LeavingTargets();
+	private _listedLeavingTargets: readonly TargetIncarnation[] = [];
+	private _targets: readonly GatewayTarget[] = [];
 	private _configuration: GatewayConfiguration | undefined;
 	private _configurationConfirmedAt = Number.NEGATIVE_INFINITY;
 	private _targetsConfirmedAt = Number.NEGATIVE_INFINITY;
@@ -57,12 +59,12 @@
 
 	/** The active targets, including those that are leaving. */
 	get targets(): readonly GatewayTarget[] {
-		return this._table.targets.map(target => this._leavingTargets.has(target) ? {...target, isLeaving: true} : target);
+		return this._targets;
 	}
 
-	/** Targets that announced lately that they are leaving, for peers. */
-	get recentlyLeaving(): readonly TargetIncarnation[] {
-		return this._leavingTargets.listRecent(this._options.clock.now());
+	/** The listed targets that have announced that they are leaving, for peers. */
+	get leavingTargets(): readonly TargetIncarnation[] {
+		return this._listedLeavingTargets;
 	}
 
 	/** Whether both a configuration and a list of targets are known, so that requests can be routed. */
@@ -177,10 +179,10 @@
 	@param source - Where the announcement came from: 'response' of the target or the id of a peer.
 	*/
 	noteLeaving(targets: readonly TargetIncarnation[], source: string): void {
-		const added = targets.filter(target => this._leavingTargets.add(target, this._options.clock.now()));
+		const added = targets.filter(target => this._leavingTargets.add(target));
 		if (added.length > 0) {
 			this._options.logger.logInfo('targets-leaving', {targets: added.map(({id}) => id), source});
-			this._onTargets.fire(this.targets);
+			this._fireTargets();
 		}
 	}
 
@@ -208,11 +210,18 @@
 		this._targetsConfirmedAt = Math.max(this._targetsConfirmedAt, this._options.clock.now() - ageMs);
 	}
 
+	private _fireTargets(): void {
+		const {targets} = this._table;
+		this._listedLeavingTargets = targets.filter(target => this._leavingTargets.has(target)).map(({id, startedAt}) => ({id, startedAt}));
+		this._targets = targets.map(target => this._leavingTargets.has(target) ? {...target, isLeaving: true} : target);
+		this._onTargets.fire(this._targets);
+	}
+
 	private _fireTargetEvents(confirmedBefore: number, hasChanged: boolean): void {
 		if (hasChanged) {
-			const {targets} = this;
+			const {targets} = this._table;
 			this._options.logger.logInfo('targets-changed', {revision: this._table.completeRevision, targets: targets.length, leaving: targets.filter(target => target.isLeaving).length});
-			this._onTargets.fire(targets);
+			this._fireTargets();
 		}
 
 		if (this._targetsConfirmedAt > confirmedBefore) {
--- a/src/policy/gateway/target-table.test.ts
+++ b/src/policy/gateway/target-table.test.ts
@@ -63,6 +63,9 @@
 		{
 			name: 'a removal', changes: {since: 5, changed: [], removed: [['a', 8]] as const}, held: [], result: true,
 		},
+		{
+			name: 'a record of which only the warm-up has gone on', changes: {since: 5, changed: [{...createTarget('a', 8), warmUpLeftMs: 1}], removed: []}, held: ['a false'], result: false,
+		},
 		{
 			name: 'nothing but a later revision', changes: {since: 5, changed: [], removed: []}, held: ['a false'], result: false,
 		},
--- a/src/policy/gateway/target-table.ts
+++ b/src/policy/gateway/target-table.ts
@@ -98,7 +98,8 @@
 		for (const target of changed) {
 			const current = this._entries.get(target.id)?.target;
 			// When there is no current record, one older than the current list has been removed since.
-			if (target.revision > (current?.revision ?? this._completeRevision)) {
+			const isNewer = target.revision > (current?.revision ?? this._completeRevision);
+			if (isNewer && (current === undefined || describeTarget(target) !== describeTarget(current))) {
 				this._entries.set(target.id, {target, heldSince: now});
 				hasChanged = true;
 			}
