--- a/src/bin/entry-daemon.ts
+++ b/src/bin/entry-daemon.ts
@@ -87,7 +87,7 @@
 	private readonly _pauseWatch: PauseWatch;
 	private readonly _pauseController: PauseController;
 	private readonly _readTracker = new SocketReadTracker(systemClock);
-	private readonly _connections = new CallerConnections();
+	private readonly _connections: CallerConnections;
 	private readonly _dataListener: DataListener;
 	private readonly _routeListener: HttpListener;
 	private readonly _operatorListener: HttpListener;
@@ -115,6 +115,7 @@
 		this._pauseWatch = this._store.add(new PauseWatch({clock: systemClock, logger: this._logger}));
 		this._pauseController = this._store.add(this._createPauseController());
 		this._shutdown = this._store.add(this._createShutdown());
+		this._connections = new CallerConnections(_settings.limits.headerBytes);
 		this._decisions = this._createDecisions();
 		this._chain = this._createChain();
 		this._dataListener = this._store.add(new DataListener({
--- a/src/bin/gateway-daemon.ts
+++ b/src/bin/gateway-daemon.ts
@@ -1,10 +1,6 @@
-import {Buffer} from 'node:buffer';
-import process from 'node:process';
-import type {IncomingMessage, ServerResponse} from 'node:http';
+import {maxHeaderSize} from 'node:http';
 import type {Socket} from 'node:net';
-import {
-	err, fromPromise, ok, type Result,
-} from 'neverthrow';
+import {err, ok, type Result} from 'neverthrow';
 import type {DisposableLike} from '../common/disposable-like.js';
 import {DisposableStore} from '../common/disposable-store.js';
 import type {GatewaySettings} from '../common/gateway/gateway-settings.js';
@@ -43,7 +39,6 @@
 import {ByteMeter} from '../io/gateway/byte-meter.js';
 import {createCallHandler} from '../io/gateway/create-call-handler.js';
 import {createSyncRouter} from '../io/gateway/create-sync-router.js';
-import {renderMetrics} from '../io/gateway/render-metrics.js';
 import {ScrapedMetrics} from '../io/gateway/scraped-metrics.js';
 import {parseAddress} from '../io/gateway/parse-address.js';
 import {SyncClient} from '../io/gateway/sync-client.js';
@@ -53,6 +48,7 @@
 import {FleetShare} from '../policy/gateway/fleet-share.js';
 import {HeldBytes} from '../policy/gateway/held-bytes.js';
 import {CallerListener} from './caller-listener.js';
+import {GatewayEndpoints} from './gateway-endpoints.js';
 
 type GatewayDaemonOptions = {
 	readonly settings: GatewaySettings;
@@ -87,8 +83,9 @@
 	private readonly _readTracker = new SocketReadTracker(systemClock);
 	private readonly _intake: IntakeController;
 	private readonly _chain: FilterChain<GatewayContext, BufferedResponse>;
-	private readonly _connections = new CallerConnections();
+	private readonly _connections = new CallerConnections(maxHeaderSize);
 	private readonly _callerListener: CallerListener;
+	private readonly _endpoints: GatewayEndpoints;
 	private readonly _readinessListener: HttpListener;
 	private readonly _routeListener: HttpListener;
 	private readonly _peerListener: HttpListener;
@@ -161,11 +158,23 @@
 		this._intake = this._store.add(new IntakeController({clock: systemClock, random: Math.random, metrics: this._metrics}));
 		this._chain = this._createChain();
 		this._callerListener = this._store.add(this._createCallerListener());
+		this._endpoints = new GatewayEndpoints({
+			site,
+			view: this._view,
+			entries: this._entries,
+			metrics: this._metrics,
+			logger,
+			isServing: () => this._isServing,
+			recordGauges: () => {
+				this._placement.recordGauges();
+				this._metrics.recordGauge('intake.waiting', this._intake.waitingCount);
+			},
+		});
 		this._readinessListener = this._store.add(new HttpListener({}, (request, response) => {
-			this._handleReadiness(request, response);
+			this._endpoints.handleReadiness(request, response);
 		}));
 		this._routeListener = this._store.add(new HttpListener({}, (request, response) => {
-			this._handleResolve(request, response);
+			this._endpoints.handleResolve(request, response);
 		}));
 		const handlePeerCall = createCallHandler(createSyncRouter(this._members, logger));
 		this._peerListener = this._store.add(new HttpListener({keepAliveTimeout: 30_000}, (request, response) => {
@@ -175,7 +184,7 @@
 			this._peerMeter.add(socket);
 		});
 		this._metricsListener = this._store.add(new HttpListener({}, (_request, response) => {
-			void this._handleMetrics(response);
+			void this._endpoints.handleMetrics(response);
 		}));
 	}
 
@@ -299,46 +308,4 @@
 			this._members.setServing(isServing);
 		}
 	}
-
-	private _handleReadiness(request: IncomingMessage, response: ServerResponse): void {
-		const isReadinessPath = request.url?.split('?', 1)[0] === this._options.site.readinessPath;
-		response.writeHead(isReadinessPath ? (this._isServing ? 200 : 503) : 404, {'content-length': 0});
-		response.end();
-	}
-
-	private async _handleMetrics(response: ServerResponse): Promise<void> {
-		const {version} = this._view;
-		this._placement.recordGauges();
-		this._metrics.recordGauge('intake.waiting', this._intake.waitingCount);
-		this._metrics.recordGauge('configuration.version', version.configuration);
-		this._metrics.recordGauge('configuration.age_ms', version.configurationAgeMs);
-		this._metrics.recordGauge('targets.age_ms', version.targetsAgeMs);
-		this._metrics.recordGauge('process.memory', process.memoryUsage.rss());
-		const rendered = await fromPromise(renderMetrics(this._metrics.series), error => error as Error);
-		if (rendered.isErr()) {
-			this._options.logger.logError('metrics-failed', {detail: rendered.error.message});
-			response.writeHead(500, {'content-length': 0});
-			response.end();
-			return;
-		}
-
-		const body = rendered.value;
-		response.writeHead(200, {'content-type': 'text/plain; version=0.0.4; charset=utf-8', 'content-length': Buffer.byteLength(body)});
-		response.end(body);
-	}
-
-	private _handleResolve(request: IncomingMessage, response: ServerResponse): void {
-		const {site} = this._options;
-		const resolveRequest = site.parseResolveRequest(request.url ?? '/');
-		const resolveResponse = resolveRequest === undefined ? undefined : this._entries.resolve(resolveRequest);
-		if (resolveResponse === undefined || resolveResponse.addresses.length === 0) {
-			response.writeHead(resolveRequest === undefined ? 404 : 503, {'content-length': 0});
-			response.end();
-			return;
-		}
-
-		const body = site.formatResolveResponse(resolveResponse);
-		response.writeHead(200, {'content-type': 'application/json', 'content-length': Buffer.byteLength(body)});
-		response.end(body);
-	}
 }
--- /dev/null
+++ b/src/bin/gateway-endpoints.ts
@@ -0,0 +1,70 @@
+import {Buffer} from 'node:buffer';
+import process from 'node:process';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {fromPromise} from 'neverthrow';
+import type {SiteInterface} from '../common/gateway/site-interface.js';
+import type {Logger} from '../common/logger.js';
+import type {EntryController} from '../controllers/gateway/entry-controller.js';
+import type {SiteView} from '../controllers/gateway/site-view.js';
+import {renderMetrics} from '../io/gateway/render-metrics.js';
+import type {ScrapedMetrics} from '../io/gateway/scraped-metrics.js';
+
+type GatewayEndpointsOptions = {
+	readonly site: SiteInterface;
+	readonly view: SiteView;
+	readonly entries: EntryController;
+	readonly metrics: ScrapedMetrics;
+	readonly logger: Logger;
+	/** Whether the instance accepts callers. */
+	readonly isServing: () => boolean;
+	/** Records the gauges of the controllers; called before the metrics are rendered. */
+	readonly recordGauges: () => void;
+};
+
+/** Answers what is asked about a gateway itself: whether it is ready, which addresses callers should use, and its metrics. */
+export class GatewayEndpoints {
+	constructor(private readonly _options: GatewayEndpointsOptions) {}
+
+	handleReadiness(request: IncomingMessage, response: ServerResponse): void {
+		const {site, isServing} = this._options;
+		const isReadinessPath = request.url?.split('?', 1)[0] === site.readinessPath;
+		response.writeHead(isReadinessPath ? (isServing() ? 200 : 503) : 404, {'content-length': 0});
+		response.end();
+	}
+
+	handleResolve(request: IncomingMessage, response: ServerResponse): void {
+		const {site, entries} = this._options;
+		const resolveRequest = site.parseResolveRequest(request.url ?? '/');
+		const resolveResponse = resolveRequest === undefined ? undefined : entries.resolve(resolveRequest);
+		if (resolveResponse === undefined || resolveResponse.addresses.length === 0) {
+			response.writeHead(resolveRequest === undefined ? 404 : 503, {'content-length': 0});
+			response.end();
+			return;
+		}
+
+		const body = site.formatResolveResponse(resolveResponse);
+		response.writeHead(200, {'content-type': 'application/json', 'content-length': Buffer.byteLength(body)});
+		response.end(body);
+	}
+
+	async handleMetrics(response: ServerResponse): Promise<void> {
+		const {view, metrics, logger, recordGauges} = this._options;
+		const {version} = view;
+		recordGauges();
+		metrics.recordGauge('configuration.version', version.configuration);
+		metrics.recordGauge('configuration.age_ms', version.configurationAgeMs);
+		metrics.recordGauge('targets.age_ms', version.targetsAgeMs);
+		metrics.recordGauge('process.memory', process.memoryUsage.rss());
+		const rendered = await fromPromise(renderMetrics(metrics.series), error => error as Error);
+		if (rendered.isErr()) {
+			logger.logError('metrics-failed', {detail: rendered.error.message});
+			response.writeHead(500, {'content-length': 0});
+			response.end();
+			return;
+		}
+
+		const body = rendered.value;
+		response.writeHead(200, {'content-type': 'text/plain; version=0.0.4; charset=utf-8', 'content-length': Buffer.byteLength(body)});
+		response.end(body);
+	}
+}
--- a/src/controllers/caller-connections.ts
+++ b/src/controllers/caller-connections.ts
@@ -13,19 +13,6 @@
 
 type OpenRequest = {readonly context: OpenContext; readonly endListeners: Array<() => void>};
 
-const convertClientError = (error: NodeJS.ErrnoException, isDispatched: boolean): RequestError => {
-	if (error.code === 'HPE_HEADER_OVERFLOW') {
-		return new RequestError(ErrorKind.HeadersTooLarge, 'the headers are larger than the limit');
-	}
-
-	if (error.code === 'ERR_HTTP_REQUEST_TIMEOUT') {
-		const kind = isDispatched ? ErrorKind.RequestTooSlowDispatched : ErrorKind.RequestTooSlow;
-		return new RequestError(kind, 'the request did not arrive in time');
-	}
-
-	return new RequestError(isDispatched ? ErrorKind.BodyInterrupted : ErrorKind.MalformedRequest, error.message);
-};
-
 /**
 Tracks the requests in progress on each connection of a caller. Responses to pipelined requests are sent in order, so a connection may only
 close after the last of them (RFC 9112, section 9.3.2).
@@ -33,6 +20,9 @@
 export class CallerConnections {
 	private readonly _openRequests = new WeakMap<Duplex, Map<ServerResponse, OpenRequest>>();
 
+	/** @param _headerBytes - Maximum size of the headers of a request, which the listener enforces. */
+	constructor(private readonly _headerBytes: number) {}
+
 	/**
 	Adds a request. Returns false when an earlier response on the connection closes it: the request will get no response, which tells the
 	caller that it was not read, so it must not be dispatched.
@@ -84,12 +74,12 @@
 	handleClientError(error: NodeJS.ErrnoException, socket: Duplex): void {
 		const contexts = [...this._openRequests.get(socket)?.values() ?? []].map(({context}) => context);
 		if (contexts.length === 0) {
-			writeSocketProblem(socket, convertClientError(error, false));
+			writeSocketProblem(socket, this._convertClientError(error, false));
 			return;
 		}
 
 		for (const context of contexts.filter(({request}) => !request.complete)) {
-			context.abort(convertClientError(error, context.isDispatched));
+			context.abort(this._convertClientError(error, context.isDispatched));
 		}
 
 		// The parser cannot continue; pending responses are sent before the connection closes.
@@ -102,6 +92,19 @@
 		}
 	}
 
+	private _convertClientError(error: NodeJS.ErrnoException, isDispatched: boolean): RequestError {
+		if (error.code === 'HPE_HEADER_OVERFLOW') {
+			return new RequestError(ErrorKind.HeadersTooLarge, `the headers have more than ${this._headerBytes} bytes`);
+		}
+
+		if (error.code === 'ERR_HTTP_REQUEST_TIMEOUT') {
+			const kind = isDispatched ? ErrorKind.RequestTooSlowDispatched : ErrorKind.RequestTooSlow;
+			return new RequestError(kind, 'the request did not arrive in time');
+		}
+
+		return new RequestError(isDispatched ? ErrorKind.BodyInterrupted : ErrorKind.MalformedRequest, error.message);
+	}
+
 	private _getOpenRequests(socket: Duplex): Map<ServerResponse, OpenRequest> {
 		let openRequests = this._openRequests.get(socket);
 		if (openRequests === undefined) {
