Collect the changes of targets for half a second between two calls of the registry

Change: the reader pauses for 500 ms after changes instead of 100; the list was read once a second before, so changes are still known earlier. A test that plays a change for each call bounds the calls (ten or more in 1.2 s before, three now).

--- a/src/controllers/gateway/registry-reader.test.ts
+++ b/src/controllers/gateway/registry-reader.test.ts
@@ -1,3 +1,4 @@
+import {setTimeout as sleep} from 'node:timers/promises';
 import {ok} from 'neverthrow';
 import {
 	afterEach, describe, expect, it, vi,
@@ -15,6 +16,31 @@
 };
 
 describe('RegistryReader', () => {
+	it('collects changes of targets that follow each other, instead of calling the registry for each', async () => {
+		let callCount = 0;
+		const source: SiteRegistry = {
+			readConfiguration: async () => Promise.race([]),
+			waitForChange: async () => Promise.race([]),
+			readTargets: async () => ok({revision: 1, targets: [gatewayTarget]}),
+			async waitForTargetChanges() {
+				callCount++;
+				return ok({
+					since: callCount, revision: callCount + 1, changed: [{...gatewayTarget, id: `n-${callCount}`, revision: callCount + 1}], removed: [],
+				});
+			},
+		};
+		const clock = {now: () => performance.now()};
+		const view = new SiteView({clock, logger: silentLogger});
+		reader = new RegistryReader({
+			source, view, logger: silentLogger, metrics: disabledMetrics, clock, isReader: () => true, isStandbyReader: () => false, isJoined: () => true, onRead: () => undefined, random: () => 0, waitsForPeers: false, targetChangeMs: 2000, configurationChangeMs: 2000,
+		});
+		void reader.start();
+		await sleep(1200);
+		expect(callCount).toBeGreaterThan(0);
+		expect(callCount).toBeLessThanOrEqual(3);
+		expect(view.targets).toHaveLength(1 + callCount);
+	});
+
 	let reader: RegistryReader | undefined;
 
 	afterEach(() => {
--- a/src/controllers/gateway/registry-reader.ts
+++ b/src/controllers/gateway/registry-reader.ts
@@ -59,6 +59,8 @@
 const readRetryPauseMs = 400;
 /** Pause after a change has been read before the next one is awaited, in ms, so that several changes in quick succession need fewer reads. */
 const changePauseMs = 100;
+/** The same for changes of targets, in ms; replacing the targets of a service takes many changes, and each call has a cost. */
+const targetChangePauseMs = 500;
 /** Pause after a failed call, in ms. A random addition of up to the same time keeps instances from calling at the same time. */
 const backoffMs = 150;
 /**
@@ -161,7 +163,7 @@
 			} else if (!view.offerTargetEvents(waited.value)) {
 				return;
 			} else if (waited.value.changed.length + waited.value.removed.length > 0) {
-				await this._pause(changePauseMs);
+				await this._pause(targetChangePauseMs);
 			}
 		}
 	}
