--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -31,13 +31,9 @@
 	const calls = [];
 	for (let index = 0; index < requestCount; index++) {
 		const gateway = testCase.gateways[index % testCase.gateways.length];
-		const send = async () => ({
-			...await testCase.call(gateway, {
-				method: 'POST', target: `/book/${index}`, id: `order-${index}`, body: `order ${index}`, deadlineMs: timeoutMs,
-			}),
-			gateway,
-		});
-		calls.push(send());
+		calls.push(testCase.call(gateway, {
+			method: 'POST', target: `/book/${index}`, id: `order-${index}`, body: `order ${index}`, deadlineMs: timeoutMs,
+		}));
 		await sleep(50); // eslint-disable-line no-await-in-loop
 	}
 
@@ -47,7 +43,7 @@
 	}
 
 	const results = await Promise.all(calls);
-	const cut = results.filter(({gateway, id, status, isComplete, tookMs}) => gateway === stopped && answeredIds.has(id) && tookMs < timeoutMs && (status === 0 || !isComplete));
+	const cut = results.filter(({gateway, id, status, isComplete, tookMs}) => gateway === stopped.id && answeredIds.has(id) && tookMs < timeoutMs && (status === 0 || !isComplete));
 	testCase.record(`${cut.length} requests ended without a complete answer although their upstream had answered`);
 	return cut.length === 0;
 });
--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -1,52 +1,80 @@
+import {setTimeout as sleep} from 'node:timers/promises';
 import {Case} from '../lib/case.mjs';
 import {sendSteadily} from '../lib/late-answers.mjs';
-import {formatAnswer} from '../lib/upstream.mjs';
 
-/** Two of six upstreams spoil every 50th of their answers (share 0.33, x 0.02), for 5.5 s at a time, with a pause of half a second between. */
-const upstreamCount = 6;
-const faultyCount = 2;
-const spoilEvery = 50;
-const spoilingMs = 5500;
-const periodMs = 6000;
+const drainMs = 2000;
+const heartbeatMs = 1500;
+const upstreamCount = 8;
+const workMs = 1200;
+/** Times at which one upstream after the other leaves, in ms. */
+const leavingAtMs = [4000, 14_000, 24_000];
+/** Time after which the store applies the heartbeat whose answer is lost, in ms: "done 1 to 6 s later". */
+const lateMs = 3500;
+/** Time for which an upstream goes on serving after its report, in ms. */
+const servingMs = 8000;
 
 const testCase = new Case(new URL('record.txt', import.meta.url));
-await testCase.execute(async () => {
-	let spoiledCount = 0;
-	const startedAt = Date.now();
-	const isSpoiling = () => testCase.isTrouble && (Date.now() - startedAt) % periodMs < spoilingMs;
-	await testCase.startUpstreams('chairbook', upstreamCount, (upstream, index) => {
-		let answerCount = 0;
-		upstream.workMs = 150;
-		upstream.answer = ({socket, id, headers, body}) => {
-			answerCount++;
-			const text = formatAnswer({
-				status: 201, reason: 'Created', headers, body,
-			});
-			if (index < faultyCount && answerCount % spoilEvery === 0 && isSpoiling()) {
-				spoiledCount++;
-				testCase.record(`${upstream.id} ran ${id} and spoils one byte of its answer: 201 becomes 101`);
-				socket.write(text.replace('HTTP/1.1 201', 'HTTP/1.1 101'));
-			} else {
-				socket.write(text);
-			}
-		};
-	}, {slots: 2});
 
+/** Lets an upstream leave as planned. With the disruption, the heartbeat before its report is applied by the store late. */
+const leave = async upstream => {
+	const {record: lateRecord} = upstream;
+	upstream.isLeaving = true;
+	testCase.store.set(`servers/${upstream.id}`, upstream.record);
+	testCase.record(`${upstream.id} leaves; the store has accepted its report`);
+	const heartbeats = setInterval(() => {
+		testCase.store.set(`servers/${upstream.id}`, upstream.record);
+	}, heartbeatMs);
+	await sleep(lateMs);
+	if (testCase.isTrouble) {
+		testCase.store.set(`servers/${upstream.id}`, lateRecord);
+		testCase.record(`the store applies the heartbeat that ${upstream.id} sent before its report`);
+	}
+
+	await sleep(servingMs - lateMs);
+	clearInterval(heartbeats);
+	testCase.store.remove(`servers/${upstream.id}`);
+	await sleep(2 * workMs);
+	upstream.close();
+	testCase.record(`${upstream.id} has ended`);
+};
+
+const leaveAt = async (upstream, ms) => {
+	await sleep(ms);
+	await leave(upstream);
+};
+
+await testCase.execute(async () => {
+	await testCase.startUpstreams('chairbook', upstreamCount, upstream => {
+		upstream.tellsLoad = false;
+		upstream.workMs = workMs;
+	});
 	await testCase.startStore({
 		services: ['chairbook'],
 		routes: [{
-			name: 'book', pathPrefix: '/book/', kind: 'unsafe', service: 'chairbook', timeoutMs: 2000,
+			name: 'book', pathPrefix: '/book/', kind: 'unsafe', service: 'chairbook',
 		}],
 	});
-	await testCase.startGateways(['z-a', 'z-a']);
-	const results = await sendSteadily(testCase, {
-		count: 3000,
-		perSecond: 50,
-		create: index => ({
-			method: 'POST', target: `/book/${index}`, id: `order-${index}`, body: `order ${index}`, deadlineMs: 4000,
+	await testCase.startGateways(['z-a', 'z-a', 'z-a']);
+	const [results] = await Promise.all([
+		sendSteadily(testCase, {
+			count: 400,
+			perSecond: 12,
+			create: index => ({
+				method: 'POST', target: `/book/${index}`, id: `order-${index}`, body: `order ${index}`,
+			}),
 		}),
-	});
-	const noAnswers = results.filter(({status}) => status === 101);
-	testCase.record(`${spoiledCount} answers were spoiled; ${noAnswers.length} clients got status 101 in place of an answer`);
-	return noAnswers.length === 0;
+		...leavingAtMs.map(async (ms, index) => leaveAt(testCase.upstreams[index], ms)),
+	]);
+	const broken = results.filter(({gateway, id, sentAt}) => testCase.upstreams.some(upstream => {
+		const passedOnAt = Math.min(...results
+			.filter(other => other.gateway === gateway && other.headers?.['server-leaving'] === '1' && other.headers['response-signature'].startsWith(`${upstream.id}.`))
+			.map(({endedAt}) => endedAt));
+		return sentAt > passedOnAt + drainMs && upstream.ran.some(run => run.id === id);
+	}));
+	for (const {gateway, id} of broken) {
+		testCase.record(`${id} was sent to ${gateway} later than drainMs after it had passed on an answer with Server-Leaving, and reached that upstream`);
+	}
+
+	testCase.record(`${broken.length} requests reached an upstream that had said to the same machine that it leaves`);
+	return broken.length === 0;
 });
--- a/review/lib/case.mjs
+++ b/review/lib/case.mjs
@@ -19,6 +19,9 @@
 /** The arguments of `run` in deploy/system.toml. */
 const gatewayArguments = ['--single-threaded', '--max-semi-space-size=1', '--max-old-space-size=64', 'target/rattansill-gateway.cjs'];
 
+/** Time after the start after which a machine is in touch, in ms: stableWindowMs and a reserve. */
+const inTouchMs = 3500;
+
 const findFreePorts = async count => {
 	const servers = Array.from({length: count}, () => createServer());
 	await Promise.all(servers.map(async server => new Promise(resolve => {
@@ -150,7 +153,8 @@
 
 		await Promise.all(this.gateways.map(async gateway => this.waitUntilReady(gateway)));
 
-		this.record(`${zones.length} gateways are ready`);
+		await sleep(inTouchMs);
+		this.record(`${zones.length} gateways are ready and in touch`);
 	}
 
 	/** Polls the readiness of a gateway; throws after 15 s. */
@@ -234,7 +238,9 @@
 		const result = await new Promise(resolve => {
 			const finish = outcome => {
 				clearTimeout(timer);
-				resolve({...outcome, id, tookMs: Date.now() - startedAt});
+				resolve({
+					...outcome, id, gateway: gateway.id, sentAt: startedAt, endedAt: Date.now(), tookMs: Date.now() - startedAt,
+				});
 			};
 
 			const request = openRequest({
--- a/review/lib/upstream.mjs
+++ b/review/lib/upstream.mjs
@@ -14,10 +14,14 @@
 load. It reads bodies with a length, which is how the gateway sends them.
 */
 export class Upstream {
-	/** Requests that were run: {id, method, path, body, status}, in order. */
+	/** Requests that were run: {id, method, path, body, at}, in order. */
 	ran = [];
 	/** Time that a request takes, in ms. */
 	workMs = 20;
+	/** Whether answers report the load. */
+	tellsLoad = true;
+	/** Whether it is leaving, which all its answers say. */
+	isLeaving = false;
 	/** Writes the answer to a request that was run; gets {socket, id, method, path, headers, body}, where headers are those of a sound answer. */
 	answer = ({socket, headers, body}) => {
 		socket.write(formatAnswer({headers, body}));
@@ -48,12 +52,17 @@
 
 	/** What the upstream writes to the store. */
 	get record() {
-		const {service, address, zone, slots, born} = this;
+		const {service, address, zone, slots, born, isLeaving} = this;
 		return {
-			service, address, zone, version: 'v1', slots, state: 'ready', warmupLeftMs: 0, seq: 1, born,
+			service, address, zone, version: 'v1', slots, state: isLeaving ? 'draining' : 'ready', warmupLeftMs: 0, seq: 1, born,
 		};
 	}
 
+	/** Headers that all answers have. */
+	get _commonHeaders() {
+		return {...(this.tellsLoad && {'Server-Load': this._load}), ...(this.isLeaving && {'Server-Leaving': '1'})};
+	}
+
 	close() {
 		this._server.close();
 		for (const socket of this._sockets) {
@@ -96,7 +105,7 @@
 	_serve(socket, head, body, onServed) {
 		const [method, path] = head.split(' ', 2);
 		if (path === '/health') {
-			socket.write(formatAnswer({headers: {'Instance-Id': this.id, 'Server-Load': this._load, 'Content-Length': 0}}));
+			socket.write(formatAnswer({status: this.isLeaving ? 503 : 200, headers: {'Instance-Id': this.id, ...this._commonHeaders, 'Content-Length': 0}}));
 			onServed();
 			return;
 		}
@@ -111,7 +120,7 @@
 		}
 
 		this.ran.push({
-			id, method, path, body,
+			id, method, path, body, at: Date.now(),
 		});
 		this._running++;
 		setTimeout(() => {
@@ -129,7 +138,7 @@
 		this.answer({
 			socket, id, method, path, body,
 			headers: {
-				'Attempt-Id': id, 'Response-Signature': `${this.id}.${id}`, 'Server-Load': this._load, 'Content-Type': 'text/plain', 'Content-Length': Buffer.byteLength(body),
+				'Attempt-Id': id, 'Response-Signature': `${this.id}.${id}`, ...this._commonHeaders, 'Content-Type': 'text/plain', 'Content-Length': Buffer.byteLength(body),
 			},
 		});
 	}
