--- a/review/lib/case.mjs
+++ b/review/lib/case.mjs
@@ -22,16 +22,38 @@
 /** Time after the start after which a machine is in touch, in ms: stableWindowMs and a reserve. */
 const inTouchMs = 3500;
 
+/** Ports below those that the system gives to outgoing connections. */
+const firstPort = 15_000;
+const portCount = 17_000;
+
+const isPortFree = async port => {
+	const server = createServer();
+	const isListening = await new Promise(resolve => {
+		server.once('error', () => {
+			resolve(false);
+		});
+		server.listen(port, '127.0.0.1', () => {
+			resolve(true);
+		});
+	});
+	if (isListening) {
+		await new Promise(resolve => {
+			server.close(resolve);
+		});
+	}
+
+	return isListening;
+};
+
 const findFreePorts = async count => {
-	const servers = Array.from({length: count}, () => createServer());
-	await Promise.all(servers.map(async server => new Promise(resolve => {
-		server.listen(0, '127.0.0.1', resolve);
-	})));
-	const ports = servers.map(server => server.address().port);
-	await Promise.all(servers.map(async server => new Promise(resolve => {
-		server.close(resolve);
-	})));
-	return ports;
+	const candidates = new Set();
+	while (candidates.size < 3 * count) {
+		candidates.add(firstPort + Math.floor(Math.random() * portCount));
+	}
+
+	const ports = [...candidates];
+	const areFree = await Promise.all(ports.map(async port => isPortFree(port)));
+	return ports.filter((_port, index) => areFree[index]).slice(0, count);
 };
 
 /** One run of a case: the store, the gateways, the upstreams, the clients' requests and the record. */
