--- a/review/lib/case.mjs
+++ b/review/lib/case.mjs
@@ -80,6 +80,13 @@
 	/** Runs the case and exits: 1 if `run` returns false (the rule was broken), 0 if it returns true, 2 if it throws. */
 	async execute(run) {
 		let code = 2;
+		for (const signal of ['SIGINT', 'SIGTERM']) {
+			process.once(signal, () => {
+				this._end();
+				process.exit(2);
+			});
+		}
+
 		const limit = setTimeout(() => {
 			this.record('the case took too long');
 			this._end();
