--- a/review/lib/case.mjs
+++ b/review/lib/case.mjs
@@ -80,6 +80,9 @@
 	/** Runs the case and exits: 1 if `run` returns false (the rule was broken), 0 if it returns true, 2 if it throws. */
 	async execute(run) {
 		let code = 2;
+		process.once('exit', () => {
+			this._killGateways();
+		});
 		for (const signal of ['SIGINT', 'SIGTERM']) {
 			process.once(signal, () => {
 				this._end();
@@ -303,13 +306,16 @@
 		return result;
 	}
 
-	_end() {
+	_killGateways() {
 		for (const {process: child, exit} of this.gateways) {
 			if (exit === undefined) {
 				child?.kill('SIGKILL');
 			}
 		}
+	}
 
+	_end() {
+		this._killGateways();
 		for (const upstream of this.upstreams) {
 			this.record(`${upstream.id} ran ${upstream.ran.length} requests`);
 			upstream.close();
