Answer requests whose target sent a head that cannot be written

Cause: Node's parser accepts heads that ServerResponse.writeHead refuses to write. The exception was thrown in SendResponseFilter, which stands outside of OutcomeFilter, so it passed the chain up to FilterChain.run, which turned it into a result that nobody sends, without a log line. A spoiled name of Content-Length took the same attempt to its deadline instead (504).

Fix: the head is checked when it is read (status 200 to 599, names and values by the functions that the writer uses), and an attempt with an invalid one is lost at once: 502 for a request that runs at most once, another target for others.

--- a/src/bin/entry-daemon.ts
+++ b/src/bin/entry-daemon.ts
@@ -24,6 +24,7 @@
 import {ClassifyFilter} from '../filters/classify-filter.js';
 import {DeadlineFilter} from '../filters/deadline-filter.js';
 import {DispatchFilter} from '../filters/dispatch-filter.js';
+import {createExceptionHandler} from '../filters/create-exception-handler.js';
 import {FilterChain} from '../filters/filter-chain.js';
 import {IdempotencyFilter} from '../filters/idempotency-filter.js';
 import {TraceAttemptFilter} from '../filters/trace-attempt-filter.js';
@@ -250,7 +251,7 @@
 			new DispatchFilter({
 				connections, clock: systemClock, callerCheck: new CallerCheck({readTracker: this._readTracker, clock: systemClock}), getConnectionLimit,
 			}),
-		]);
+		], createExceptionHandler(this._logger));
 	}
 
 	private _handleRoute(request: IncomingMessage, response: ServerResponse): void {
--- a/src/bin/gateway-daemon.ts
+++ b/src/bin/gateway-daemon.ts
@@ -19,6 +19,7 @@
 import {ShutdownController} from '../controllers/shutdown-controller.js';
 import {SocketReadTracker} from '../controllers/socket-read-tracker.js';
 import {CallerCheck} from '../filters/caller-check.js';
+import {createExceptionHandler} from '../filters/create-exception-handler.js';
 import {FilterChain} from '../filters/filter-chain.js';
 import {AttemptRunner} from '../filters/gateway/attempt-runner.js';
 import {BodyFilter} from '../filters/gateway/body-filter.js';
@@ -260,10 +261,11 @@
 	private _createChain(): FilterChain<GatewayContext, BufferedResponse> {
 		const {site, logger} = this._options;
 		const callerCheck = new CallerCheck({readTracker: this._readTracker, clock: systemClock});
+		const notable = new RateLimitedLogger({logger, clock: systemClock, linesPerSecond: notableLinesPerSecond});
 		return new FilterChain<GatewayContext, BufferedResponse>([
 			new ShutdownFilter({shutdown: this._shutdown, connections: this._connections}),
 			new LogFilter({
-				notable: new RateLimitedLogger({logger, clock: systemClock, linesPerSecond: notableLinesPerSecond}),
+				notable,
 				ordinary: new RateLimitedLogger({logger, clock: systemClock, linesPerSecond: ordinaryLinesPerSecond}),
 				view: this._view,
 				clock: systemClock,
@@ -283,7 +285,7 @@
 					headers: site.headers, clock: systemClock, callerCheck,
 				}),
 			}),
-		]);
+		], createExceptionHandler(notable));
 	}
 
 	private _createCallerListener(): CallerListener {
--- a/src/filters/filter-chain.ts
+++ b/src/filters/filter-chain.ts
@@ -7,7 +7,11 @@
 
 /** Runs the filters in order; an exception thrown by a filter becomes an internal error that states whether the request may have run. */
 export class FilterChain<Context extends {readonly isDispatched: boolean} = RequestContext, ChainResponse = TargetResponse> {
-	constructor(private readonly _filters: ReadonlyArray<Filter<Context, ChainResponse>>) {}
+	/**
+	@param _filters - The filters, in the order in which a request passes through them.
+	@param _handleException - Ends a request when an exception has passed all filters, so that none of them has responded.
+	*/
+	constructor(private readonly _filters: ReadonlyArray<Filter<Context, ChainResponse>>, private readonly _handleException: (context: Context, error: RequestError) => void) {}
 
 	/** Names of the filters, in the order in which a request passes through them. */
 	get names(): readonly string[] {
@@ -19,7 +23,9 @@
 			return await this._runFrom(0, context);
 		} catch (error) {
 			const kind = context.isDispatched ? ErrorKind.InternalDispatched : ErrorKind.InternalQueued;
-			return err(new RequestError(kind, (error as Error).message));
+			const internalError = new RequestError(kind, (error as Error).message);
+			this._handleException(context, internalError);
+			return err(internalError);
 		}
 	}
 
--- a/src/filters/write-problem.ts
+++ b/src/filters/write-problem.ts
@@ -1,11 +1,12 @@
 import {Buffer} from 'node:buffer';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import {createProblem} from '../common/create-problem.js';
 import type {RequestError} from '../common/request-error.js';
-import type {RequestContext} from './request-context.js';
+
+type OpenExchange = {readonly request: IncomingMessage; readonly response: ServerResponse};
 
 /** Responds to a request with the problem document of an error; a response that has already started is aborted instead. */
-export const writeProblem = (context: RequestContext, error: RequestError): void => {
-	const {request, response} = context;
+export const writeProblem = ({request, response}: OpenExchange, error: RequestError): void => {
 	if (response.headersSent || response.destroyed) {
 		response.destroy();
 		return;
--- a/src/io/gateway/target-client.ts
+++ b/src/io/gateway/target-client.ts
@@ -4,6 +4,7 @@
 } from 'node:http';
 import type {DisposableLike} from '../../common/disposable-like.js';
 import type {BufferedResponse} from '../../common/gateway/buffered-response.js';
+import {checkResponseHead} from './check-response-head.js';
 import {detectCleanClose} from './detect-clean-close.js';
 import {hasDelimitedBody} from './has-delimited-body.js';
 import type {OutgoingRequest} from './outgoing-request.js';
@@ -104,8 +105,15 @@
 					return;
 				}
 
+				const head = {status: response.statusCode ?? 0, rawHeaders: response.rawHeaders};
+				const fault = checkResponseHead(head);
+				if (fault !== undefined) {
+					request.destroy(new Error(fault));
+					return;
+				}
+
 				receivedResponse = response;
-				if (!outgoing.canReuseConnection({status: response.statusCode ?? 0, rawHeaders: response.rawHeaders})) {
+				if (!outgoing.canReuseConnection(head)) {
 					request.shouldKeepAlive = false;
 				}
 
