Complete responses without a body at their head

Cause: the gateway's own hasDelimitedBody looked at headers only and took a 204 or 304 for a response that ends with its connection; the wait for that end could be ended neither by the deadline nor by the shutdown.

On related paths: 'Transfer-Encoding: gzip' counted as a marked end, so such a response that was reset midway was passed on as complete.

--- a/src/io/gateway/target-client.test.ts
+++ b/src/io/gateway/target-client.test.ts
@@ -37,8 +37,8 @@
 		});
 	};
 
-	const send = async (client: TargetClient, signal = new AbortController().signal, confirmSend = async () => true) => client.sendRequest({
-		method: 'GET', path: '/', createHeaders: () => ['host', 'h'], body: new Uint8Array(0), confirmSend, canReuseConnection: () => true, signal,
+	const send = async (client: TargetClient, signal = new AbortController().signal, confirmSend = async () => true, method = 'GET') => client.sendRequest({
+		method, path: '/', createHeaders: () => ['host', 'h'], body: new Uint8Array(0), confirmSend, canReuseConnection: () => true, signal,
 	});
 
 	afterEach(() => {
@@ -112,6 +112,8 @@
 		['chunks', `${head}Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n`, 'end', 'answer'],
 		['no delimited body and a close', `${head}\r\nok`, 'end', 'answer'],
 		['no delimited body and a reset', `${head}\r\nok`, 'reset', 'lost'],
+		['an encoding without chunks and a close', `${head}Transfer-Encoding: gzip\r\n\r\nok`, 'end', 'answer'],
+		['an encoding without chunks and a reset', `${head}Transfer-Encoding: gzip\r\n\r\nok`, 'reset', 'lost'],
 		['fewer bytes than its length', `${head}Content-Length: 9\r\n\r\nok`, 'end', 'lost'],
 		['chunks without the last chunk', `${head}Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n`, 'reset', 'lost'],
 		['bytes that are not HTTP', 'hello\r\n\r\n', 'end', 'lost'],
@@ -138,6 +140,31 @@
 		client.dispose();
 	});
 
+	// Guards against responses that are held until the target closes the connection, although they end with their head.
+	// Node.js does not reuse the connection of a HEAD request whose response states no length.
+	it.each([
+		['status 204', 'GET', 'HTTP/1.1 204 No Content\r\nX-Id: a\r\n\r\n', 1],
+		['status 304', 'GET', 'HTTP/1.1 304 Not Modified\r\nX-Id: a\r\n\r\n', 1],
+		['status 304 and the length of what it stands for', 'GET', 'HTTP/1.1 304 Not Modified\r\nX-Id: a\r\nContent-Length: 9\r\n\r\n', 1],
+		['status 200 to a HEAD request', 'HEAD', `${head}\r\n`, 2],
+		['status 200 and a length to a HEAD request', 'HEAD', `${head}Content-Length: 9\r\n\r\n`, 1],
+	])('completes a response with %s at its head', async (_name, method, bytes, expectedConnections) => {
+		let connections = 0;
+		const client = await listen(socket => {
+			socket.write(bytes);
+		});
+		server?.on('connection', () => {
+			connections++;
+		});
+		for (let count = 0; count < 2; count++) {
+			const exchange = await Promise.race([send(client, undefined, undefined, method), sleep(1000)]);
+			expect(exchange).toMatchObject({kind: 'answer', answer: {status: Number(bytes.split(' ')[1])}});
+		}
+
+		expect(connections).toBe(expectedConnections);
+		client.dispose();
+	});
+
 	it.each([
 		['a length', `${head}Content-Length: 2\r\n\r\nok`],
 		['informational responses before it', `HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n${head}Content-Length: 2\r\n\r\nok`],
--- a/src/io/gateway/target-client.ts
+++ b/src/io/gateway/target-client.ts
@@ -4,9 +4,9 @@
 } from 'node:http';
 import type {DisposableLike} from '../../common/disposable-like.js';
 import type {BufferedResponse} from '../../common/gateway/buffered-response.js';
+import {hasDelimitedBody} from '../../policy/has-delimited-body.js';
 import {checkResponseHead} from './check-response-head.js';
 import {detectCleanClose} from './detect-clean-close.js';
-import {hasDelimitedBody} from './has-delimited-body.js';
 import type {OutgoingRequest} from './outgoing-request.js';
 import type {ProbeRequest} from './probe-request.js';
 import {TargetAgent} from './target-agent.js';
@@ -117,7 +117,7 @@
 					request.shouldKeepAlive = false;
 				}
 
-				this._collectBody(response, resolve);
+				this._collectBody(method, response, resolve);
 			});
 		});
 	}
@@ -211,9 +211,9 @@
 		});
 	}
 
-	private _collectBody(response: IncomingMessage, resolve: (exchange: TargetExchange) => void): void {
+	private _collectBody(method: string, response: IncomingMessage, resolve: (exchange: TargetExchange) => void): void {
 		const chunks: Uint8Array[] = [];
-		const cleanClose = hasDelimitedBody(response) ? undefined : detectCleanClose(response.socket);
+		const cleanClose = hasDelimitedBody(method, response.statusCode ?? 0, response.rawHeaders) ? undefined : detectCleanClose(response.socket);
 		let byteCount = 0;
 		response.on('data', (chunk: Uint8Array) => {
 			byteCount += chunk.length;
