Answer 502 when a target turns a request away without proof

Cause: classifyResponse took 408, 429 and 503 without the target's statement for ordinary responses, and nothing compared a target's status with the ledger, which noted that the request ran.

Fix: such a response gets a verdict of its own. The caller gets 502 with the outcome 'unknown' and without the target's signature; a request that may run again goes to another target. The test of classifyResponse that expected 'failed' for such a 503 now expects the new verdict, which fails the target as before and also keeps the response from the caller.

--- a/src/common/error-kind.ts
+++ b/src/common/error-kind.ts
@@ -18,6 +18,7 @@
 	ConnectFailed = 'connect-failed',
 	ConnectionsExhausted = 'connections-exhausted',
 	TargetRefused = 'target-refused',
+	TargetRefusedUnproven = 'target-refused-unproven',
 	ConnectionLost = 'connection-lost',
 	AnswerCut = 'answer-cut',
 	BodyInterrupted = 'body-interrupted',
--- a/src/common/error-responses.ts
+++ b/src/common/error-responses.ts
@@ -58,6 +58,9 @@
 	[ErrorKind.TargetRefused]: {
 		status: 503, title: 'The target refused the request', outcome: Outcome.NotRun, retryAfterSeconds: 1,
 	},
+	[ErrorKind.TargetRefusedUnproven]: {
+		status: 502, title: 'The target refused the request without proof that it did not run', outcome: Outcome.Unknown, retryAfterSeconds: undefined,
+	},
 	[ErrorKind.ConnectionLost]: {
 		status: 502, title: 'The connection to the target was lost after dispatch', outcome: Outcome.Unknown, retryAfterSeconds: undefined,
 	},
--- a/src/common/gateway/attempt-end.ts
+++ b/src/common/gateway/attempt-end.ts
@@ -6,6 +6,8 @@
 	Failed = 'failed',
 	/** The target rejected the request and stated that it did not run it. */
 	Refused = 'refused',
+	/** The target rejected the request without stating that it did not run it. */
+	RefusedUnproven = 'refused-unproven',
 	/** The address now belongs to another target. */
 	Misdirected = 'misdirected',
 	/** No connection could be opened; nothing was sent. */
--- a/src/filters/gateway/attempt-runner.ts
+++ b/src/filters/gateway/attempt-runner.ts
@@ -134,6 +134,11 @@
 				return err(new RequestError(ErrorKind.TargetRefused, `target ${lease.target.id} responded with status ${response.status}: the request was not run`));
 			}
 
+			case AttemptEnd.RefusedUnproven: {
+				record.apply(AttemptInput.Lost);
+				return err(new RequestError(ErrorKind.TargetRefusedUnproven, `target ${lease.target.id} responded with status ${response.status} without stating that it did not run the request`));
+			}
+
 			case AttemptEnd.Lost: {
 				record.apply(AttemptInput.Lost);
 				return err(new RequestError(ErrorKind.AnswerCut, `target ${lease.target.id} sent a response that does not belong to this request`));
--- a/src/policy/gateway/classify-response.test.ts
+++ b/src/policy/gateway/classify-response.test.ts
@@ -18,7 +18,10 @@
 		['another target', 421, ['X-Id', 'a'], AttemptEnd.Misdirected],
 		['another target that names no request', 421, [], AttemptEnd.Misdirected],
 		['another target that responds to an earlier request', 421, ['X-Id', 'b'], AttemptEnd.Lost],
-		['a 503 that proves nothing', 503, ['X-Id', 'a'], AttemptEnd.Failed],
+		['a 503 that proves nothing', 503, ['X-Id', 'a'], AttemptEnd.RefusedUnproven],
+		['a 429 that proves nothing', 429, ['X-Id', 'a', 'X-Signature', 's'], AttemptEnd.RefusedUnproven],
+		['a 408 that proves nothing', 408, ['X-Id', 'a', 'X-Signature', 's'], AttemptEnd.RefusedUnproven],
+		['a failure at the deadline of the target', 504, ['X-Id', 'a', 'X-Signature', 's'], AttemptEnd.Failed],
 		['a client error of the target', 404, ['X-Id', 'a', 'X-Signature', 's'], AttemptEnd.Answered],
 	])('classifies %s', (_name, status, rawHeaders, expected) => {
 		expect(classifyResponse({status, rawHeaders}, headers, 'a')).toBe(expected);
--- a/src/policy/gateway/classify-response.ts
+++ b/src/policy/gateway/classify-response.ts
@@ -6,6 +6,8 @@
 
 const misdirectedStatus = 421;
 const firstServerErrorStatus = 500;
+/** Statuses by which a caller knows that its request has not run and never will; they need the target's proof. */
+const refusalStatuses = new Set([408, 429, 503]);
 
 const isSuccess = (status: number): boolean => status >= 200 && status < 300;
 
@@ -33,5 +35,9 @@
 		return isFromTarget ? AttemptEnd.Answered : AttemptEnd.Lost;
 	}
 
+	if (refusalStatuses.has(status)) {
+		return AttemptEnd.RefusedUnproven;
+	}
+
 	return status >= firstServerErrorStatus ? AttemptEnd.Failed : AttemptEnd.Answered;
 };
--- a/src/policy/gateway/target-record.test.ts
+++ b/src/policy/gateway/target-record.test.ts
@@ -7,6 +7,7 @@
 	it.each([
 		['after successes', [AttemptEnd.Answered, AttemptEnd.Answered], false],
 		['after two failures', [AttemptEnd.Failed, AttemptEnd.Lost], false],
+		['after three refusals without proof', [AttemptEnd.RefusedUnproven, AttemptEnd.RefusedUnproven, AttemptEnd.RefusedUnproven], true],
 		['after three failures', [AttemptEnd.Failed, AttemptEnd.Failed, AttemptEnd.Lost], true],
 		['after a connection that could not be opened', [AttemptEnd.ConnectFailed], true],
 		['when another target has its address', [AttemptEnd.Misdirected], true],
--- a/src/policy/gateway/target-record.ts
+++ b/src/policy/gateway/target-record.ts
@@ -115,6 +115,7 @@
 			}
 
 			case AttemptEnd.Failed:
+			case AttemptEnd.RefusedUnproven:
 			case AttemptEnd.Lost: {
 				this._failureRate += (1 - this._failureRate) * failureWeight;
 				if (this._failureRate >= ejectFailureRate) {
