Heed a target's word that it leaves after its record said so

Cause: TargetPool dropped the announcement of a target that was no longer in the pool, and a record that says draining removes it before the responses in progress arrive. A late write of the registry then made it available again.

Fix: the announcement counts whether or not the target is still listed.

--- a/src/controllers/gateway/target-pool.test.ts
+++ b/src/controllers/gateway/target-pool.test.ts
@@ -174,6 +174,11 @@
 			const lease = await grantTo('a-1');
 			lease.release(AttemptEnd.Answered, {...silentReport, isLeaving: true});
 		}],
+		['a response that arrives after the target was removed from the list', async () => {
+			const lease = await grantTo('a-1');
+			pool.update([]);
+			lease.release(AttemptEnd.Answered, {...silentReport, isLeaving: true});
+		}],
 		['a probe', async () => {
 			reports.set('a-1', {isLeaving: true});
 			await pool.chooseWithProbes(anyTarget);
--- a/src/controllers/gateway/target-pool.ts
+++ b/src/controllers/gateway/target-pool.ts
@@ -268,7 +268,7 @@
 			metrics.countEvent('target.announcements', {service: this._service.name, kind: 'pause'});
 		}
 
-		if (isLeaving && !pooledTarget.isRemoved) {
+		if (isLeaving) {
 			metrics.countEvent('target.announcements', {service: this._service.name, kind: 'leaving'});
 			onLeaving(pooledTarget.record.target);
 		}
