Keep a target leaving once its record has said so

Cause: the list follows the newest revision of a record, and a late write has the newest one. A record without a start is followed as before, since it cannot be told from its successor's.

Evidence: site-view.test.ts 'calls a target that was draining ready again for the same start' failed before and passes now.

--- a/src/controllers/gateway/site-view.test.ts
+++ b/src/controllers/gateway/site-view.test.ts
@@ -1,5 +1,6 @@
 import {describe, expect, it} from 'vitest';
 import type {ViewVersion} from '../../common/gateway/view-version.js';
+import {gatewayTarget} from '../../../test/support/gateway-target.js';
 import {silentLogger} from '../../../test/support/silent-logger.js';
 import {SiteView} from './site-view.js';
 
@@ -57,4 +58,26 @@
 		expect(view.configuration?.version).toBe(version);
 		expect(view.configurationLagMs).toBe(lagMs);
 	});
+
+	// Guards against requests to a leaving target whose older record the registry writes late.
+	it.each([
+		['ready again for the same start', {startedAt: 1}, true],
+		['ready for a later start', {startedAt: 2}, false],
+	])('calls a target that was draining %s', (_name, record, isLeaving) => {
+		const view = new SiteView({clock: {now: () => 0}, logger: silentLogger});
+		view.offerTargets({revision: 1, targets: [{...gatewayTarget, revision: 1, isLeaving: true}]}, 0);
+		view.offerTargets({revision: 2, targets: [{...gatewayTarget, revision: 2, ...record}]}, 0);
+		expect(view.targets.map(target => target.isLeaving)).toEqual([isLeaving]);
+	});
+
+	it('follows the record of a target that states no start', () => {
+		const view = new SiteView({clock: {now: () => 0}, logger: silentLogger});
+		view.offerTargets({
+			revision: 1, targets: [{
+				...gatewayTarget, revision: 1, startedAt: 0, isLeaving: true,
+			}],
+		}, 0);
+		view.offerTargets({revision: 2, targets: [{...gatewayTarget, revision: 2, startedAt: 0}]}, 0);
+		expect(view.targets.map(target => target.isLeaving)).toEqual([false]);
+	});
 });
--- a/src/controllers/gateway/site-view.ts
+++ b/src/controllers/gateway/site-view.ts
@@ -62,7 +62,7 @@
 		return this._targets;
 	}
 
-	/** The listed targets that have announced that they are leaving, for peers. */
+	/** The listed targets that are leaving, for peers. */
 	get leavingTargets(): readonly TargetIncarnation[] {
 		return this._listedLeavingTargets;
 	}
@@ -212,11 +212,21 @@
 
 	private _fireTargets(): void {
 		const {targets} = this._table;
+		this._noteLeavingRecords(targets);
 		this._listedLeavingTargets = targets.filter(target => this._leavingTargets.has(target)).map(({id, startedAt}) => ({id, startedAt}));
 		this._targets = targets.map(target => this._leavingTargets.has(target) ? {...target, isLeaving: true} : target);
 		this._onTargets.fire(this._targets);
 	}
 
+	/** Notes targets whose records say that they are leaving, since the registry may write an older record late. One without a start cannot be told from its successor. */
+	private _noteLeavingRecords(targets: readonly GatewayTarget[]): void {
+		for (const target of targets) {
+			if (target.isLeaving && target.startedAt !== 0) {
+				this._leavingTargets.add(target);
+			}
+		}
+	}
+
 	private _fireTargetEvents(confirmedBefore: number, hasChanged: boolean): void {
 		if (hasChanged) {
 			const {targets} = this._table;
--- a/src/policy/gateway/leaving-targets.ts
+++ b/src/policy/gateway/leaving-targets.ts
@@ -5,7 +5,7 @@
 
 const createKey = ({id, startedAt}: TargetIncarnation): string => `${id} ${startedAt}`;
 
-/** The targets that have announced in a response that they are leaving. A list of targets, which may be older, does not revoke it. */
+/** The targets that are leaving, by their own announcement or their record. A list of targets, which may be older, does not revoke it. */
 export class LeavingTargets {
 	private readonly _entries = new Set<string>();
 
