Bound the memory of responses together, and of bodies in small pieces

Cause: each piece was kept as an object of its own, which takes about 100 bytes of a heap of 64 MB whatever its length, while only bytes were counted; and the limit of a response knew nothing of the others.

--- a/src/bin/gateway-daemon.ts
+++ b/src/bin/gateway-daemon.ts
@@ -47,6 +47,7 @@
 import {systemClock} from '../io/system-clock.js';
 import {addressTtlMs} from '../policy/gateway/address-ttl-ms.js';
 import {FleetShare} from '../policy/gateway/fleet-share.js';
+import {ResponseMemory} from '../policy/gateway/response-memory.js';
 import {HeldBytes} from '../policy/gateway/held-bytes.js';
 import {CallerListener} from './caller-listener.js';
 import {GatewayEndpoints} from './gateway-endpoints.js';
@@ -61,7 +62,7 @@
 const notableLinesPerSecond = 50;
 /** Log lines per second for all other requests. */
 const ordinaryLinesPerSecond = 5;
-/** The bodies of all requests in progress may take the memory limit divided by this, beside heap, responses and sockets. */
+/** The bodies of all requests in progress, and the responses to them, may each take the memory limit divided by this, beside heap and sockets. */
 const bodyMemoryDivisor = 8;
 /** Time left in a graceful shutdown after the last responses are flushed, in ms: for notifying the peers and for timers that fire late under load. */
 const stopReserveMs = 300;
@@ -72,6 +73,7 @@
 export class GatewayDaemon implements DisposableLike {
 	private readonly _store = new DisposableStore();
 	private readonly _metrics = new ScrapedMetrics();
+	private readonly _notableLogger: RateLimitedLogger;
 	private readonly _peerMeter = new ByteMeter();
 	private readonly _reporter: StateReporter;
 	private readonly _view: SiteView;
@@ -91,11 +93,13 @@
 	private readonly _routeListener: HttpListener;
 	private readonly _peerListener: HttpListener;
 	private readonly _metricsListener: HttpListener;
+	private readonly _responseMemory: ResponseMemory;
 	private _isStopping = false;
 	private _isServing = false;
 
 	constructor(private readonly _options: GatewayDaemonOptions) {
 		const {settings, logger, site} = _options;
+		this._notableLogger = new RateLimitedLogger({logger, clock: systemClock, linesPerSecond: notableLinesPerSecond});
 		this._view = this._store.add(new SiteView({clock: systemClock, logger}));
 		this._members = this._store.add(new MemberController({
 			self: {
@@ -157,6 +161,14 @@
 			}),
 		}));
 		this._intake = this._store.add(new IntakeController({clock: systemClock, random: Math.random, metrics: this._metrics}));
+		this._responseMemory = new ResponseMemory({
+			limitBytes: settings.limits.memoryBytes / bodyMemoryDivisor,
+			clock: systemClock,
+			onEvicted: bytes => {
+				this._metrics.countEvent('response.evicted', {});
+				this._notableLogger.logError('response-evicted', {bytes, heldBytes: this._responseMemory.heldBytes});
+			},
+		});
 		this._chain = this._createChain();
 		this._callerListener = this._store.add(this._createCallerListener());
 		this._endpoints = new GatewayEndpoints({
@@ -169,6 +181,7 @@
 			recordGauges: () => {
 				this._placement.recordGauges();
 				this._metrics.recordGauge('intake.waiting', this._intake.waitingCount);
+				this._metrics.recordGauge('response.held_bytes', this._responseMemory.heldBytes);
 			},
 		});
 		this._readinessListener = this._store.add(new HttpListener({}, (request, response) => {
@@ -261,17 +274,16 @@
 	private _createChain(): FilterChain<GatewayContext, BufferedResponse> {
 		const {site, logger} = this._options;
 		const callerCheck = new CallerCheck({readTracker: this._readTracker, clock: systemClock});
-		const notable = new RateLimitedLogger({logger, clock: systemClock, linesPerSecond: notableLinesPerSecond});
 		return new FilterChain<GatewayContext, BufferedResponse>([
 			new ShutdownFilter({shutdown: this._shutdown, connections: this._connections}),
 			new LogFilter({
-				notable,
+				notable: this._notableLogger,
 				ordinary: new RateLimitedLogger({logger, clock: systemClock, linesPerSecond: ordinaryLinesPerSecond}),
 				view: this._view,
 				clock: systemClock,
 			}),
 			new MeasureFilter({metrics: this._metrics, clock: systemClock}),
-			new SendResponseFilter(),
+			new SendResponseFilter(this._connections),
 			new OutcomeFilter(),
 			new PipelineFilter(this._connections),
 			new RouteFilter(this._view, Math.random),
@@ -282,10 +294,10 @@
 			new RetryFilter({
 				placement: this._placement,
 				runner: new AttemptRunner({
-					headers: site.headers, clock: systemClock, callerCheck,
+					headers: site.headers, clock: systemClock, callerCheck, responseMemory: this._responseMemory,
 				}),
 			}),
-		], createExceptionHandler(notable));
+		], createExceptionHandler(this._notableLogger));
 	}
 
 	private _createCallerListener(): CallerListener {
--- a/src/filters/gateway/attempt-runner.ts
+++ b/src/filters/gateway/attempt-runner.ts
@@ -10,6 +10,7 @@
 import {classifyResponse} from '../../policy/gateway/classify-response.js';
 import {parseTargetReport} from '../../policy/gateway/parse-target-report.js';
 import {minRetryAfterMs} from '../../policy/gateway/min-retry-after-ms.js';
+import type {ResponseMemory} from '../../policy/gateway/response-memory.js';
 import {AttemptInput} from '../../policy/attempt-input.js';
 import type {AttemptRecord} from '../../policy/attempt-record.js';
 import type {CallerCheck} from '../caller-check.js';
@@ -20,6 +21,8 @@
 	readonly headers: HeaderVocabulary;
 	readonly clock: Clock;
 	readonly callerCheck: CallerCheck;
+	/** Limits the memory of all responses that are buffered. */
+	readonly responseMemory: Pick<ResponseMemory, 'createHold'>;
 };
 
 /** Whether a response belongs to this request and comes from the expected target. */
@@ -63,6 +66,7 @@
 		context.attemptedTargets.push(lease.target.id);
 		const recordedLease = this._recordOnRelease(context, lease);
 		record.apply(AttemptInput.Dispatch);
+		const memory = this._options.responseMemory.createHold();
 		const exchange = await lease.client.sendRequest({
 			method: context.request.method ?? 'GET',
 			path: context.request.url ?? '/',
@@ -70,6 +74,7 @@
 			createHeaders: () => this._createHeaders(context, lease),
 			confirmSend: async () => await this._options.callerCheck.confirm(context) && lease.canSend() && this._options.clock.now() < context.deadlineAt,
 			canReuseConnection: head => isMatchingResponse(classifyResponse(head, this._options.headers, context.requestId)),
+			memory,
 			signal,
 		});
 		switch (exchange.kind) {
@@ -96,6 +101,11 @@
 
 			case 'answer': {
 				context.sentCount++;
+				// A caller that does not read its response may lose it only after the time for which it waits.
+				memory.setEviction(context.deadlineAt, () => {
+					context.response.destroy();
+				});
+				context.keepUntilEnd(memory);
 				return this._handleResponse(context, recordedLease, record, exchange.answer);
 			}
 		}
--- a/src/filters/gateway/body-filter.ts
+++ b/src/filters/gateway/body-filter.ts
@@ -1,9 +1,10 @@
-import {Buffer} from 'node:buffer';
 import {err, ok, type Result} from 'neverthrow';
+import {ByteCollector} from '../../common/byte-collector.js';
 import {ErrorKind} from '../../common/error-kind.js';
 import {RequestError} from '../../common/request-error.js';
 import type {SiteView} from '../../controllers/gateway/site-view.js';
 import type {HeldBytes} from '../../policy/gateway/held-bytes.js';
+import {hasTooManyPieces} from '../../policy/has-too-many-pieces.js';
 import {minRetryAfterMs} from '../../policy/gateway/min-retry-after-ms.js';
 import type {GatewayContext} from './gateway-context.js';
 import type {GatewayFilter} from './gateway-filter.js';
@@ -38,58 +39,62 @@
 		}
 
 		let takenBytes = declaredBytes;
-		const holdBytes = (length: number): RequestError | undefined => {
+		let pieceCount = 0;
+		const collector = new ByteCollector(declaredBytes);
+		const collectPiece = (piece: Uint8Array): RequestError | undefined => {
+			pieceCount++;
+			const length = collector.length + piece.length;
 			if (length > limitBytes) {
 				return this._createTooLargeError(limitBytes);
 			}
 
-			const missingBytes = Math.max(0, length - takenBytes);
+			if (hasTooManyPieces(pieceCount, length)) {
+				return new RequestError(ErrorKind.BodyTooLarge, `the body arrives in ${pieceCount} pieces for ${length} bytes`);
+			}
+
+			const missingBytes = Math.max(0, collector.computeCapacity(piece.length) - takenBytes);
 			if (!heldBytes.tryTake(missingBytes)) {
 				return this._createMemoryError();
 			}
 
 			takenBytes += missingBytes;
+			collector.add(piece);
 			return undefined;
 		};
 
 		try {
-			const bodyResult = await this._readBody(context, holdBytes);
-			if (bodyResult.isErr()) {
-				return err(bodyResult.error);
+			const readResult = await this._readBody(context, collectPiece);
+			if (readResult.isErr()) {
+				return err(readResult.error);
 			}
 
-			context.body = bodyResult.value;
+			context.body = collector.mergeBlocks();
 			return await next(context);
 		} finally {
 			heldBytes.release(takenBytes);
 		}
 	}
 
-	/** @param holdBytes - Called with the length read so far; returns the error that ends the request when it is too long. */
-	private async _readBody({request, signal}: GatewayContext, holdBytes: (length: number) => RequestError | undefined): Promise<Result<Uint8Array, RequestError>> {
-		const chunks: Uint8Array[] = [];
-		let length = 0;
+	/** @param collectPiece - Called with each piece of the body; returns the error that ends the request when it cannot be held. */
+	private async _readBody({request, signal}: GatewayContext, collectPiece: (piece: Uint8Array) => RequestError | undefined): Promise<Result<void, RequestError>> {
 		return new Promise(resolve => {
-			const settle = (result: Result<Uint8Array, RequestError>) => {
-				request.off('data', collectChunk);
+			const settle = (result: Result<void, RequestError>) => {
+				request.off('data', handleData);
 				// The rest of the body is read and dropped, so that the response is not lost to a reset of the connection.
 				request.resume();
 				resolve(result);
 			};
 
-			const collectChunk = (chunk: Uint8Array) => {
-				length += chunk.length;
-				const error = holdBytes(length);
-				if (error === undefined) {
-					chunks.push(chunk);
-				} else {
+			const handleData = (piece: Uint8Array) => {
+				const error = collectPiece(piece);
+				if (error !== undefined) {
 					settle(err(error));
 				}
 			};
 
-			request.on('data', collectChunk);
+			request.on('data', handleData);
 			request.once('end', () => {
-				settle(ok(Buffer.concat(chunks)));
+				settle(ok());
 			});
 			request.once('error', error => {
 				settle(err(new RequestError(ErrorKind.CallerGone, error.message)));
--- a/src/filters/gateway/gateway-context.ts
+++ b/src/filters/gateway/gateway-context.ts
@@ -2,6 +2,7 @@
 import type {Arrival} from '../../common/arrival.js';
 import type {GatewayRoute} from '../../common/gateway/gateway-route.js';
 import type {RequestError} from '../../common/request-error.js';
+import type {ResponseHold} from '../../policy/gateway/response-hold.js';
 import {OutcomeLedger} from '../../policy/outcome-ledger.js';
 import type {AttemptLogEntry} from './attempt-log-entry.js';
 
@@ -26,6 +27,8 @@
 	/** Finished attempts, for the log. */
 	readonly attempts: AttemptLogEntry[] = [];
 	readonly ledger = new OutcomeLedger();
+	private readonly _responseHolds: ResponseHold[] = [];
+	private _isEnded = false;
 	private readonly _abortController = new AbortController();
 
 	/**
@@ -55,6 +58,23 @@
 		return this.ledger.isDispatched;
 	}
 
+	/** Keeps the memory of a response until the response to the caller was sent or its connection has closed. */
+	keepUntilEnd(hold: ResponseHold): void {
+		if (this._isEnded) {
+			hold.release();
+		} else {
+			this._responseHolds.push(hold);
+		}
+	}
+
+	/** Releases the memory of the responses, when the response to the caller was sent or its connection has closed. */
+	end(): void {
+		this._isEnded = true;
+		for (const hold of this._responseHolds.splice(0)) {
+			hold.release();
+		}
+	}
+
 	/** Cancels all work for the request. */
 	abort(reason: RequestError): void {
 		this._abortController.abort(reason);
--- a/src/filters/gateway/send-response-filter.ts
+++ b/src/filters/gateway/send-response-filter.ts
@@ -3,6 +3,7 @@
 import type {BufferedResponse} from '../../common/gateway/buffered-response.js';
 import {ErrorKind} from '../../common/error-kind.js';
 import type {RequestError} from '../../common/request-error.js';
+import type {CallerConnections} from '../../controllers/caller-connections.js';
 import {stripHopHeaders} from '../strip-hop-headers.js';
 import type {GatewayContext} from './gateway-context.js';
 import type {GatewayFilter} from './gateway-filter.js';
@@ -14,11 +15,16 @@
 
 /** Writes the target's complete response, or the problem document of an error, to the caller. */
 export class SendResponseFilter implements GatewayFilter {
+	constructor(private readonly _connections: Pick<CallerConnections, 'onceEnded'>) {}
+
 	get name(): string {
 		return 'answer';
 	}
 
 	async handleRequest(context: GatewayContext, next: GatewayNext): GatewayResult {
+		this._connections.onceEnded(context, () => {
+			context.end();
+		});
 		const result = await next(context);
 		if (context.response.destroyed) {
 			return result;
--- a/src/io/gateway/target-client.test.ts
+++ b/src/io/gateway/target-client.test.ts
@@ -6,6 +6,7 @@
 import {
 	afterEach, describe, expect, it, vi,
 } from 'vitest';
+import {createUnlimitedHold} from '../../../test/support/create-unlimited-hold.js';
 import {TargetClient} from './target-client.js';
 
 const head = 'HTTP/1.1 200 OK\r\nX-Id: a\r\n';
@@ -38,7 +39,7 @@
 	};
 
 	const send = async (client: TargetClient, signal = new AbortController().signal, confirmSend = async () => true, method = 'GET') => client.sendRequest({
-		method, path: '/', createHeaders: () => ['host', 'h'], body: new Uint8Array(0), confirmSend, canReuseConnection: () => true, signal,
+		method, path: '/', createHeaders: () => ['host', 'h'], body: new Uint8Array(0), confirmSend, canReuseConnection: () => true, memory: createUnlimitedHold(), signal,
 	});
 
 	afterEach(() => {
@@ -263,6 +264,7 @@
 			createHeaders: () => ['host', 'h', 'left-ms', String(Math.round(deadlineAt - performance.now()))],
 			confirmSend: async () => true,
 			canReuseConnection: () => true,
+			memory: createUnlimitedHold(),
 			signal: new AbortController().signal,
 		})));
 		expect(stated).toHaveLength(3);
@@ -293,6 +295,7 @@
 			createHeaders: () => headers.flatMap(header => header.split(': ')),
 			confirmSend: async () => true,
 			canReuseConnection: () => true,
+			memory: createUnlimitedHold(),
 			signal: new AbortController().signal,
 		});
 		const [lines = '', sent] = received.split('\r\n\r\n');
--- a/src/io/gateway/target-client.ts
+++ b/src/io/gateway/target-client.ts
@@ -1,10 +1,12 @@
-import {Buffer} from 'node:buffer';
 import {
 	request as openRequest, type ClientRequest, type IncomingMessage,
 } from 'node:http';
+import {ByteCollector} from '../../common/byte-collector.js';
 import type {DisposableLike} from '../../common/disposable-like.js';
 import type {BufferedResponse} from '../../common/gateway/buffered-response.js';
+import type {ResponseHold} from '../../policy/gateway/response-hold.js';
 import {hasDelimitedBody} from '../../policy/has-delimited-body.js';
+import {hasTooManyPieces} from '../../policy/has-too-many-pieces.js';
 import {checkResponseHead} from './check-response-head.js';
 import {detectCleanClose} from './detect-clean-close.js';
 import type {OutgoingRequest} from './outgoing-request.js';
@@ -25,6 +27,8 @@
 const idleTimeoutMs = 8000;
 /** Maximum number of informational (1xx) responses before the final one; more fail the exchange. */
 const maxInformationalResponses = 16;
+/** Maximum size of the body of a response to a health check, which is dropped. */
+const maxProbeBodyBytes = 65_536;
 /** Time limit for opening a connection, in ms; a round trip across failure domains takes 3 ms. */
 const connectTimeoutMs = 400;
 
@@ -44,9 +48,17 @@
 	/** Sends a request and resolves when the response is complete or can no longer become so. */
 	async sendRequest(outgoing: OutgoingRequest): Promise<TargetExchange> {
 		this._setConnectionLimit();
-		const {method, path, body, signal} = outgoing;
+		const {method, path, body, signal, memory} = outgoing;
 		const {host, port} = this._options;
 		return new Promise(resolve => {
+			const settle = (exchange: TargetExchange) => {
+				if (exchange.kind !== 'answer') {
+					memory.release();
+				}
+
+				resolve(exchange);
+			};
+
 			const request = openRequest({
 				host, port, method, path, agent: this._agent, setHost: false,
 			});
@@ -55,7 +67,7 @@
 			const fail = (error: Error) => {
 				// Bytes after a complete response are an error of the connection, not of the response.
 				if (receivedResponse?.complete !== true) {
-					resolve({kind: isWritten ? 'lost' : 'unsent', detail: error.message});
+					settle({kind: isWritten ? 'lost' : 'unsent', detail: error.message});
 				}
 			};
 
@@ -66,7 +78,7 @@
 				}
 
 				if (!isConfirmed) {
-					resolve({kind: 'unconfirmed'});
+					settle({kind: 'unconfirmed'});
 					request.destroy();
 					return;
 				}
@@ -84,7 +96,7 @@
 				request.destroy(new Error('aborted'));
 				// A request that is destroyed while queued in the agent emits no event until a connection is free for it.
 				if (request.socket === null) {
-					resolve({kind: 'unsent', detail: 'aborted before a connection was free'});
+					settle({kind: 'unsent', detail: 'aborted before a connection was free'});
 				}
 			};
 
@@ -117,7 +129,7 @@
 					request.shouldKeepAlive = false;
 				}
 
-				this._collectBody(method, response, resolve);
+				this._collectBody(outgoing, response, settle);
 			});
 		});
 	}
@@ -147,7 +159,13 @@
 					clearTimeout(timer);
 				});
 				response.on('error', () => undefined);
-				response.resume();
+				let bodyBytes = 0;
+				response.on('data', (chunk: Uint8Array) => {
+					bodyBytes += chunk.length;
+					if (bodyBytes > maxProbeBodyBytes) {
+						request.destroy();
+					}
+				});
 				const {statusCode = 0, rawHeaders} = response;
 				if (isProbeResponse(rawHeaders)) {
 					resolve({status: statusCode, rawHeaders});
@@ -211,23 +229,26 @@
 		});
 	}
 
-	private _collectBody(method: string, response: IncomingMessage, resolve: (exchange: TargetExchange) => void): void {
-		const chunks: Uint8Array[] = [];
+	private _collectBody({method, memory}: Pick<OutgoingRequest, 'method' | 'memory'>, response: IncomingMessage, resolve: (exchange: TargetExchange) => void): void {
+		const collector = new ByteCollector();
 		const cleanClose = hasDelimitedBody(method, response.statusCode ?? 0, response.rawHeaders) ? undefined : detectCleanClose(response.socket);
-		let byteCount = 0;
+		let pieceCount = 0;
+		memory.setEviction(Number.NEGATIVE_INFINITY, () => {
+			response.destroy(new Error(`the response was given up at ${collector.length} bytes, since smaller ones needed its memory`));
+		});
 		response.on('data', (chunk: Uint8Array) => {
-			byteCount += chunk.length;
-			if (byteCount > this._options.maxResponseBytes) {
-				response.destroy(new Error(`the response is larger than ${this._options.maxResponseBytes} bytes`));
-				return;
+			pieceCount++;
+			const fault = this._checkGrowth(collector, chunk, pieceCount, memory);
+			if (fault === undefined) {
+				collector.add(chunk);
+			} else {
+				response.destroy(new Error(fault));
 			}
-
-			chunks.push(chunk);
 		});
 		const finish = async () => {
 			const isComplete = response.complete && (cleanClose === undefined || await cleanClose);
 			resolve(isComplete
-				? {kind: 'answer', answer: {status: response.statusCode ?? 0, rawHeaders: response.rawHeaders, body: Buffer.concat(chunks)}}
+				? {kind: 'answer', answer: {status: response.statusCode ?? 0, rawHeaders: response.rawHeaders, body: collector.mergeBlocks()}}
 				: {kind: 'lost', detail: 'the response was truncated'});
 		};
 
@@ -243,4 +264,19 @@
 			}
 		});
 	}
+
+	/** Takes memory for the next piece of a response; returns why the response has to be given up, if so. */
+	private _checkGrowth(collector: ByteCollector, {length}: Uint8Array, pieceCount: number, memory: ResponseHold): string | undefined {
+		const {maxResponseBytes} = this._options;
+		if (collector.length + length > maxResponseBytes) {
+			return `the response is larger than ${maxResponseBytes} bytes`;
+		}
+
+		if (hasTooManyPieces(pieceCount, collector.length + length)) {
+			return `the response arrives in more than ${pieceCount - 1} pieces for ${collector.length} bytes`;
+		}
+
+		const capacity = collector.computeCapacity(length);
+		return capacity <= memory.bytes || memory.resize(capacity) ? undefined : 'the responses in progress take all the memory that they may';
+	}
 }
