Refuse requests that cannot be passed on, and survive what Node refuses to write

Cause: Node's parser accepts requests that its client refuses to write. The refusal was thrown in promises that nobody handled: while headers were added (void write()), and in the race of a hedged request (_settleWhenDone, which then never settled).

Where the process survived, a tab got 500 in place of 400.

Fix: a filter answers 400, not run, to a target or header that cannot be written; the client of a target reports what Node refuses as not sent, so that the lease is released; an exception in a race ends the race, and the request with it.

--- a/src/bin/gateway-daemon.ts
+++ b/src/bin/gateway-daemon.ts
@@ -23,6 +23,7 @@
 import {FilterChain} from '../filters/filter-chain.js';
 import {AttemptRunner} from '../filters/gateway/attempt-runner.js';
 import {BodyFilter} from '../filters/gateway/body-filter.js';
+import {CheckHeadFilter} from '../filters/gateway/check-head-filter.js';
 import type {GatewayContext} from '../filters/gateway/gateway-context.js';
 import {IntakeFilter} from '../filters/gateway/intake-filter.js';
 import {LogFilter} from '../filters/gateway/log-filter.js';
@@ -286,6 +287,7 @@
 			new SendResponseFilter(this._connections),
 			new OutcomeFilter(),
 			new PipelineFilter(this._connections),
+			new CheckHeadFilter(),
 			new RouteFilter(this._view, Math.random),
 			new TimeLimitFilter({clock: systemClock, callerWatch: new CallerWatch(), timeoutHeader: site.headers.timeoutMs}),
 			new RefuseDuringShutdownFilter<GatewayContext, BufferedResponse>({shutdown: this._shutdown, isIdempotent: ({route}) => route?.isIdempotent ?? false}),
--- a/src/filters/gateway/retry-filter.ts
+++ b/src/filters/gateway/retry-filter.ts
@@ -78,7 +78,7 @@
 
 		context.signal.addEventListener('abort', abortRace, {once: true});
 		const firstAttempt = this._runAttempt(context, route, raceController.signal);
-		return new Promise(resolve => {
+		return new Promise((resolve, reject) => {
 			let isHedged = false;
 			// While the other attempt runs, one failure is not final; if both fail, the later result is returned.
 			let ignoredFailure: AttemptResult | undefined;
@@ -107,24 +107,34 @@
 				settle(await this._options.runner.run(context, lease, raceController.signal));
 			};
 
+			// An exception ends the race like a final failure, so that neither the request nor the process is left with it.
+			const runOrFail = async (run: () => Promise<void>) => {
+				try {
+					await run();
+				} catch (error) {
+					clearTimeout(timer);
+					context.signal.removeEventListener('abort', abortRace);
+					raceController.abort(raceEnded);
+					reject(error instanceof Error ? error : new Error(String(error)));
+				}
+			};
+
 			const scheduleHedge = (delayFraction: number) => {
 				if (!raceController.signal.aborted && !context.signal.aborted) {
 					timer = setTimeout(() => {
-						void sendHedge();
+						void runOrFail(sendHedge);
 					}, route.objectiveMs * delayFraction);
 				}
 			};
 
 			let timer: NodeJS.Timeout | undefined;
 			scheduleHedge(hedgeDelayFraction);
-			void this._settleWhenDone(firstAttempt, settle);
+			void runOrFail(async () => {
+				settle(await firstAttempt);
+			});
 		});
 	}
 
-	private async _settleWhenDone(first: Promise<AttemptResult>, settle: (result: AttemptResult) => void): Promise<void> {
-		settle(await first);
-	}
-
 	private async _runAttempt(context: GatewayContext, route: GatewayRoute, signal = context.signal): Promise<AttemptResult> {
 		const leaseResult = await this._options.placement.acquire(this._createPlacementRequest(context, route, signal));
 		return leaseResult.isErr() ? err(leaseResult.error) : this._options.runner.run(context, leaseResult.value, signal);
--- a/src/io/gateway/target-client.test.ts
+++ b/src/io/gateway/target-client.test.ts
@@ -373,6 +373,34 @@
 		client.dispose();
 	});
 
+	// Guards against exceptions that nobody handles, which end the process.
+	it.each([
+		['a path', '/a\tb', ['host', 'h']],
+		['a header name', '/', ['bad name', 'x']],
+		['a header value', '/', ['x-a', 'a\u0001b']],
+	])('reports that nothing was sent when Node.js refuses to write %s, and keeps working', async (_name, path, headers) => {
+		let received = 0;
+		const client = await listen(socket => {
+			received++;
+			socket.write(`${head}Content-Length: 2\r\n\r\nok`);
+		});
+		const exchange = await client.sendRequest({
+			method: 'GET',
+			path,
+			body: new Uint8Array(0),
+			createHeaders: () => headers,
+			confirmSend: async () => true,
+			canReuseConnection: () => true,
+			memory: createUnlimitedHold(),
+			signal: new AbortController().signal,
+		});
+		expect(exchange.kind).toBe('unsent');
+		expect(received).toBe(0);
+		const after = await send(client);
+		expect(after.kind).toBe('answer');
+		client.dispose();
+	});
+
 	it('reports that nothing was sent when no connection can be opened', async () => {
 		const client = await listen(() => undefined);
 		await new Promise(resolve => {
--- a/src/io/gateway/target-client.ts
+++ b/src/io/gateway/target-client.ts
@@ -1,6 +1,7 @@
 import {
-	request as openRequest, type ClientRequest, type IncomingMessage,
+	request as openRequest, type ClientRequest, type IncomingMessage, type RequestOptions,
 } from 'node:http';
+import {fromThrowable, type Result} from 'neverthrow';
 import {ByteCollector} from '../../common/byte-collector.js';
 import type {DisposableLike} from '../../common/disposable-like.js';
 import type {BufferedResponse} from '../../common/gateway/buffered-response.js';
@@ -49,7 +50,6 @@
 	async sendRequest(outgoing: OutgoingRequest): Promise<TargetExchange> {
 		this._setConnectionLimit();
 		const {method, path, body, signal, memory} = outgoing;
-		const {host, port} = this._options;
 		return new Promise(resolve => {
 			const settle = (exchange: TargetExchange) => {
 				if (exchange.kind !== 'answer') {
@@ -59,9 +59,13 @@
 				resolve(exchange);
 			};
 
-			const request = openRequest({
-				host, port, method, path, agent: this._agent, setHost: false,
-			});
+			const opened = this._openRequest({method, path, setHost: false});
+			if (opened.isErr()) {
+				settle({kind: 'unsent', detail: opened.error.message});
+				return;
+			}
+
+			const request = opened.value;
 			let isWritten = false;
 			let receivedResponse: IncomingMessage | undefined;
 			const fail = (error: Error) => {
@@ -83,13 +87,23 @@
 					return;
 				}
 
-				isWritten = true;
 				this._addHeaders(request, outgoing);
+				isWritten = true;
 				request.end(body.length > 0 ? body : undefined);
 			};
 
+			const writeOrFail = async () => {
+				try {
+					await write();
+				} catch (error) {
+					// What Node.js refuses to write is noticed before the first byte.
+					settle({kind: isWritten ? 'lost' : 'unsent', detail: (error as Error).message});
+					request.destroy();
+				}
+			};
+
 			this._waitForConnect(request, () => {
-				void write();
+				void writeOrFail();
 			});
 			// Listening costs a fraction of the request's own option for a signal.
 			const handleAbort = () => {
@@ -137,11 +151,14 @@
 	/** Sends a health check and resolves with the response head; undefined when none arrives in time or the response belongs to another request. */
 	async sendProbe({path, host: hostHeader, timeoutMs, isProbeResponse}: ProbeRequest): Promise<Pick<BufferedResponse, 'status' | 'rawHeaders'> | undefined> {
 		this._setConnectionLimit();
-		const {host, port} = this._options;
 		return new Promise(resolve => {
-			const request = openRequest({
-				host, port, path, agent: this._agent, headers: {host: hostHeader},
-			});
+			const opened = this._openRequest({path, headers: {host: hostHeader}});
+			if (opened.isErr()) {
+				resolve(undefined);
+				return;
+			}
+
+			const request = opened.value;
 			this._limitInformationalResponses(request);
 			// HTTP/1.1 connections are persistent by default, and traffic between failure domains is costly.
 			request.removeHeader('connection');
@@ -188,6 +205,14 @@
 		this._agent.maxFreeSockets = maxConnections;
 	}
 
+	/** Creates a request; an error means that Node.js refuses to write its method, path or headers. */
+	private _openRequest(options: RequestOptions): Result<ClientRequest, Error> {
+		const {host, port} = this._options;
+		return fromThrowable(() => openRequest({
+			...options, host, port, agent: this._agent,
+		}), error => error as Error)();
+	}
+
 	private _addHeaders(request: ClientRequest, {createHeaders, body}: OutgoingRequest): void {
 		const rawHeaders = createHeaders();
 		for (let index = 0; index < rawHeaders.length; index += 2) {
