Split paths without exceptions, and keep a failing handler to its own request

On the same path: an error event of a listening socket (a connection that cannot be accepted) has had no listener since the socket was opened, which ends the process as well.

Fix: parseRequestTarget splits targets without exceptions; every listener answers 500 and logs listener-failed when its handler fails.

--- a/src/bin/caller-listener.ts
+++ b/src/bin/caller-listener.ts
@@ -3,6 +3,7 @@
 import type {DisposableLike} from '../common/disposable-like.js';
 import type {BufferedResponse} from '../common/gateway/buffered-response.js';
 import type {GatewayLimits} from '../common/gateway/gateway-limits.js';
+import type {Logger} from '../common/logger.js';
 import type {CallerConnections} from '../controllers/caller-connections.js';
 import type {IntakeController} from '../controllers/gateway/intake-controller.js';
 import type {PauseWatch} from '../controllers/pause-watch.js';
@@ -19,6 +20,7 @@
 	readonly readTracker: Pick<SocketReadTracker, 'recordRead'>;
 	/** Name of the header with the id that the caller gave this attempt of its request, in lower case. */
 	readonly requestIdHeader: string;
+	readonly logger: Pick<Logger, 'logError'>;
 };
 
 /** Interval at which connections are checked for headers that arrive too slowly, in ms. */
@@ -32,7 +34,7 @@
 		const {connections, intake} = _options;
 		this.listener = new HttpListener({noDelay: true, requireHostHeader: false, connectionsCheckingInterval: connectionCheckMs}, (request, response) => {
 			this._handleRequest(request, response);
-		});
+		}, _options.logger);
 		const {server} = this.listener;
 		server.on('connection', () => {
 			intake.noteConnection();
--- a/src/bin/data-listener.ts
+++ b/src/bin/data-listener.ts
@@ -4,11 +4,12 @@
 import type {DisposableLike} from '../common/disposable-like.js';
 import type {EntrySettings} from '../common/entry-settings.js';
 import {ErrorKind} from '../common/error-kind.js';
+import type {Logger} from '../common/logger.js';
 import {RequestError} from '../common/request-error.js';
 import type {CallerConnections} from '../controllers/caller-connections.js';
 import type {PauseWatch} from '../controllers/pause-watch.js';
 import type {SocketReadTracker} from '../controllers/socket-read-tracker.js';
-import {writeProblem} from '../filters/write-problem.js';
+import {writeProblem} from '../io/write-problem.js';
 import type {FilterChain} from '../filters/filter-chain.js';
 import {RequestContext} from '../filters/request-context.js';
 import {CallerWatch} from '../io/caller-watch.js';
@@ -23,6 +24,7 @@
 	readonly connections: CallerConnections;
 	readonly pauseWatch: Pick<PauseWatch, 'estimateArrival'>;
 	readonly readTracker: Pick<SocketReadTracker, 'recordRead'>;
+	readonly logger: Pick<Logger, 'logError'>;
 };
 
 const keepAliveTimeoutMs = 60_000;
@@ -45,7 +47,7 @@
 			requireHostHeader: false,
 		}, (request, response) => {
 			this._handleRequest(request, response, false);
-		});
+		}, _options.logger);
 		const {server} = this.listener;
 		server.maxConnections = limits.callerConnections;
 		// Headers are limited by size; with a limit on their number, Node.js would silently drop the excess ones.
--- a/src/bin/entry-daemon.ts
+++ b/src/bin/entry-daemon.ts
@@ -45,6 +45,7 @@
 import {PeerServer} from '../io/peer/peer-server.js';
 import {systemClock} from '../io/system-clock.js';
 import {computeConnectionShare} from '../policy/compute-connection-share.js';
+import {parseRequestTarget} from '../policy/parse-request-target.js';
 import {createObservabilityFilters} from './create-observability-filters.js';
 import {DataListener} from './data-listener.js';
 
@@ -120,7 +121,7 @@
 		this._decisions = this._createDecisions();
 		this._chain = this._createChain();
 		this._dataListener = this._store.add(new DataListener({
-			limits: _settings.limits, chain: this._chain, connections: this._connections, pauseWatch: this._pauseWatch, readTracker: this._readTracker,
+			limits: _settings.limits, chain: this._chain, connections: this._connections, pauseWatch: this._pauseWatch, readTracker: this._readTracker, logger: this._logger,
 		}));
 		if (_settings.metrics.enabled) {
 			this._store.add(new ProcessMetrics(this._metrics, report => {
@@ -132,10 +133,10 @@
 
 		this._routeListener = this._store.add(new HttpListener({}, (request, response) => {
 			this._handleRoute(request, response);
-		}));
+		}, this._logger));
 		this._operatorListener = this._store.add(new HttpListener({}, (_request, response) => {
 			writeJson(response, 200, this.describeStatus());
-		}));
+		}, this._logger));
 		this._peerServer = this._store.add(new PeerServer({
 			describeSelf: () => this._members.self,
 			load: this._decisions.load,
@@ -255,14 +256,14 @@
 	}
 
 	private _handleRoute(request: IncomingMessage, response: ServerResponse): void {
-		const url = new URL(request.url ?? '/', 'http://localhost');
-		const [, root, service, ...rest] = url.pathname.split('/');
+		const {path, query} = parseRequestTarget(request.url ?? '/');
+		const [, root, service, ...rest] = path.split('/');
 		if (root !== 'routes' || service === undefined || rest.length > 0) {
 			writeJson(response, 404, {title: 'Not found', detail: 'use GET /routes/<service>?domain=<failure domain>'});
 			return;
 		}
 
-		const routeResponse = this._routes.resolveRoute(service, url.searchParams.get('domain') ?? undefined);
+		const routeResponse = this._routes.resolveRoute(service, query.get('domain') ?? undefined);
 		if (routeResponse === undefined) {
 			writeJson(response, 404, {title: 'No such service', detail: `no service is named "${service}"`});
 			return;
--- a/src/bin/gateway-daemon.ts
+++ b/src/bin/gateway-daemon.ts
@@ -187,20 +187,20 @@
 		});
 		this._readinessListener = this._store.add(new HttpListener({}, (request, response) => {
 			this._endpoints.handleReadiness(request, response);
-		}));
+		}, this._notableLogger));
 		this._routeListener = this._store.add(new HttpListener({}, (request, response) => {
 			this._endpoints.handleResolve(request, response);
-		}));
+		}, this._notableLogger));
 		const handlePeerCall = createCallHandler(createSyncRouter(this._members, logger));
-		this._peerListener = this._store.add(new HttpListener({keepAliveTimeout: 30_000}, (request, response) => {
-			void handlePeerCall(request, response);
-		}));
+		this._peerListener = this._store.add(new HttpListener({keepAliveTimeout: 30_000}, async (request, response) => {
+			await handlePeerCall(request, response);
+		}, this._notableLogger));
 		this._peerListener.server.on('connection', (socket: Socket) => {
 			this._peerMeter.add(socket);
 		});
-		this._metricsListener = this._store.add(new HttpListener({}, (_request, response) => {
-			void this._endpoints.handleMetrics(response);
-		}));
+		this._metricsListener = this._store.add(new HttpListener({}, async (_request, response) => {
+			await this._endpoints.handleMetrics(response);
+		}, this._notableLogger));
 	}
 
 	/** Opens the listeners and starts to fetch configuration, targets and members; an error names the address that could not be opened. */
@@ -310,6 +310,7 @@
 			pauseWatch: this._pauseWatch,
 			readTracker: this._readTracker,
 			requestIdHeader: this._options.site.headers.requestId,
+			logger: this._notableLogger,
 		});
 		this._store.add(this._view.onConfiguration(({limits}) => {
 			listener.setLimits(limits);
--- a/src/bin/gateway-endpoints.ts
+++ b/src/bin/gateway-endpoints.ts
@@ -6,6 +6,7 @@
 import type {Logger} from '../common/logger.js';
 import type {EntryController} from '../controllers/gateway/entry-controller.js';
 import type {SiteView} from '../controllers/gateway/site-view.js';
+import {parseRequestTarget} from '../policy/parse-request-target.js';
 import {renderMetrics} from '../io/gateway/render-metrics.js';
 import type {ScrapedMetrics} from '../io/gateway/scraped-metrics.js';
 
@@ -27,7 +28,7 @@
 
 	handleReadiness(request: IncomingMessage, response: ServerResponse): void {
 		const {site, isServing} = this._options;
-		const isReadinessPath = request.url?.split('?', 1)[0] === site.readinessPath;
+		const isReadinessPath = parseRequestTarget(request.url ?? '/').path === site.readinessPath;
 		response.writeHead(isReadinessPath ? (isServing() ? 200 : 503) : 404, {'content-length': 0});
 		response.end();
 	}
--- a/src/filters/create-exception-handler.ts
+++ b/src/filters/create-exception-handler.ts
@@ -1,7 +1,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Logger} from '../common/logger.js';
 import type {RequestError} from '../common/request-error.js';
-import {writeProblem} from './write-problem.js';
+import {writeProblem} from '../io/write-problem.js';
 
 type OpenExchange = {readonly request: IncomingMessage; readonly response: ServerResponse};
 
--- a/src/filters/send-response-filter.ts
+++ b/src/filters/send-response-filter.ts
@@ -1,9 +1,9 @@
+import {writeProblem} from '../io/write-problem.js';
 import {stripHopHeaders} from './strip-hop-headers.js';
 import type {FilterResult} from './filter-result.js';
 import type {Filter} from './filter.js';
 import type {NextFilter} from './next-filter.js';
 import type {RequestContext} from './request-context.js';
-import {writeProblem} from './write-problem.js';
 
 /** Writes the target's response, or the problem document of an error, to the caller. */
 export class SendResponseFilter implements Filter {
--- a/src/io/http-listener.ts
+++ b/src/io/http-listener.ts
@@ -1,19 +1,32 @@
 import {
-	createServer, type RequestListener, type Server, type ServerOptions,
+	createServer, type IncomingMessage, type Server, type ServerOptions, type ServerResponse,
 } from 'node:http';
 import type {AddressInfo} from 'node:net';
 import {err, ok, type Result} from 'neverthrow';
 import type {DisposableLike} from '../common/disposable-like.js';
+import {ErrorKind} from '../common/error-kind.js';
+import type {Logger} from '../common/logger.js';
+import {RequestError} from '../common/request-error.js';
+import {DebugLogger} from './debug-logger.js';
+import {writeProblem} from './write-problem.js';
 
 type Address = {readonly host: string; readonly port: number};
 
-/** An HTTP server together with its listening socket. */
+type RequestHandler = (request: IncomingMessage, response: ServerResponse) => void | Promise<void>;
+
+/** An HTTP server together with its listening socket. An exception of the handler ends its own request only. */
 export class HttpListener implements DisposableLike {
 	/** The underlying server, for events and options that this class does not wrap. */
 	readonly server: Server;
 
-	constructor(options: ServerOptions, handler: RequestListener) {
-		this.server = createServer(options, handler);
+	/**
+	@param _handler - Handles the requests; may throw or reject.
+	@param _logger - Receives exceptions of the handler and errors of the listening socket.
+	*/
+	constructor(options: ServerOptions, private readonly _handler: RequestHandler, private readonly _logger: Pick<Logger, 'logError'> = new DebugLogger('', 'listener')) {
+		this.server = createServer(options, (request, response) => {
+			void this._handle(request, response);
+		});
 	}
 
 	/** The bound port, which the system chooses when port 0 is requested; 0 when not listening. */
@@ -31,6 +44,10 @@
 			this.server.once('error', fail);
 			this.server.listen(address.port, address.host, () => {
 				this.server.off('error', fail);
+				// Without a listener, a connection that cannot be accepted would end the process.
+				this.server.on('error', error => {
+					this._logFailure(error);
+				});
 				resolve(ok());
 			});
 		});
@@ -40,4 +57,17 @@
 		this.server.close();
 		this.server.closeAllConnections();
 	}
+
+	private async _handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		try {
+			await this._handler(request, response);
+		} catch (error) {
+			this._logFailure(error);
+			writeProblem({request, response}, new RequestError(ErrorKind.InternalDispatched, 'the request could not be handled'));
+		}
+	}
+
+	private _logFailure(error: unknown): void {
+		this._logger.logError('listener-failed', {port: this.port, detail: error instanceof Error ? error.message : String(error)});
+	}
 }
