Take no spoiled status for a response without a body

Cause: a response counted as complete as soon as Node's parser said so, for a 204 at the end of its head, whatever its Content-Length said; verdicts had no lower bound of the status. A 101 with an Upgrade header closed the connection without an error, so the request never settled.

Fix: a 204 or 205 that states a body is lost, so is a 204 or 304 behind which further bytes were read, and a request whose connection closes without a final response settles.

--- a/src/filters/gateway/send-response-filter.ts
+++ b/src/filters/gateway/send-response-filter.ts
@@ -2,6 +2,7 @@
 import {createProblem} from '../../common/create-problem.js';
 import type {BufferedResponse} from '../../common/gateway/buffered-response.js';
 import {ErrorKind} from '../../common/error-kind.js';
+import {hasNoBody} from '../../common/has-no-body.js';
 import type {RequestError} from '../../common/request-error.js';
 import type {CallerConnections} from '../../controllers/caller-connections.js';
 import {stripHopHeaders} from '../strip-hop-headers.js';
@@ -10,9 +11,6 @@
 import type {GatewayNext} from './gateway-next.js';
 import type {GatewayResult} from './gateway-result.js';
 
-/** Statuses of responses that never have a body (RFC 9110, section 6.4.1). */
-const bodilessStatuses = new Set([204, 304]);
-
 /** Writes the target's complete response, or the problem document of an error, to the caller. */
 export class SendResponseFilter implements GatewayFilter {
 	constructor(private readonly _connections: Pick<CallerConnections, 'onceEnded'>) {}
@@ -40,9 +38,9 @@
 	}
 
 	private _sendResponse({request, response}: GatewayContext, {status, rawHeaders, body}: BufferedResponse): void {
-		const hasNoBody = request.method === 'HEAD' || bodilessStatuses.has(status);
-		const headers = stripHopHeaders(rawHeaders, hasNoBody ? [] : ['content-length']);
-		if (!hasNoBody) {
+		const isBodiless = hasNoBody(request.method ?? 'GET', status);
+		const headers = stripHopHeaders(rawHeaders, isBodiless ? [] : ['content-length']);
+		if (!isBodiless) {
 			headers.push('content-length', String(body.length));
 		}
 
--- a/src/io/gateway/target-client.ts
+++ b/src/io/gateway/target-client.ts
@@ -5,6 +5,7 @@
 import {ByteCollector} from '../../common/byte-collector.js';
 import type {DisposableLike} from '../../common/disposable-like.js';
 import type {BufferedResponse} from '../../common/gateway/buffered-response.js';
+import {hasNoBody} from '../../common/has-no-body.js';
 import type {ResponseHold} from '../../policy/gateway/response-hold.js';
 import {hasDelimitedBody} from '../../policy/has-delimited-body.js';
 import {hasTooManyPieces} from '../../policy/has-too-many-pieces.js';
@@ -26,6 +27,8 @@
 
 /** Time after which an idle connection is closed, in ms; targets close theirs after 10 s or announce a timeout of their own. */
 const idleTimeoutMs = 8000;
+/** Beginning of the codes of errors of Node's HTTP parser. */
+const parserErrorPrefix = 'HPE_';
 /** Maximum number of informational (1xx) responses before the final one; more fail the exchange. */
 const maxInformationalResponses = 16;
 /** Maximum size of the body of a response to a health check, which is dropped. */
@@ -68,9 +71,10 @@
 			const request = opened.value;
 			let isWritten = false;
 			let receivedResponse: IncomingMessage | undefined;
-			const fail = (error: Error) => {
-				// Bytes after a complete response are an error of the connection, not of the response.
-				if (receivedResponse?.complete !== true) {
+			const fail = (error: NodeJS.ErrnoException) => {
+				// Bytes after a complete response are an error of the connection, unless they may be the body of a response whose status was spoiled.
+				const isUnexpectedBody = method !== 'HEAD' && hasNoBody(method, receivedResponse?.statusCode ?? 0) && error.code?.startsWith(parserErrorPrefix) === true;
+				if (receivedResponse?.complete !== true || isUnexpectedBody) {
 					settle({kind: isWritten ? 'lost' : 'unsent', detail: error.message});
 				}
 			};
@@ -118,11 +122,16 @@
 				handleAbort();
 			} else {
 				signal.addEventListener('abort', handleAbort, {once: true});
-				request.once('close', () => {
-					signal.removeEventListener('abort', handleAbort);
-				});
 			}
 
+			request.once('close', () => {
+				signal.removeEventListener('abort', handleAbort);
+				// Node.js closes the connection of a response that switches protocols without an error.
+				if (receivedResponse === undefined) {
+					settle({kind: isWritten ? 'lost' : 'unsent', detail: 'the connection closed without a final response'});
+				}
+			});
+
 			request.on('error', fail);
 			this._limitInformationalResponses(request);
 			request.on('response', response => {
--- a/src/policy/has-delimited-body.ts
+++ b/src/policy/has-delimited-body.ts
@@ -1,4 +1,4 @@
-const bodilessStatuses = new Set([204, 304]);
+import {hasNoBody} from '../common/has-no-body.js';
 
 /**
 Whether a truncated response can be detected: the response has no body, or one that is delimited by its length or by chunks.
@@ -7,7 +7,7 @@
 @param rawHeaders - Headers of the response, as alternating names and values.
 */
 export const hasDelimitedBody = (method: string, status: number, rawHeaders: readonly string[]): boolean => {
-	if (method === 'HEAD' || bodilessStatuses.has(status)) {
+	if (hasNoBody(method, status)) {
 		return true;
 	}
 
