Bound what is held and parsed of the registry's responses and of peers' calls

Cause: pieces were kept as objects of their own there, too; parsed JSON takes up to ten times its text (8 MB allowed, heap of 64 MB); the inputs of calls were limited one by one.

Fix: the same ByteCollector and limit of pieces; at most 125,000 values a text; all inputs of calls together take at most a 16th of the memory, and a call has 4 s to arrive.

--- a/src/bin/gateway-daemon.ts
+++ b/src/bin/gateway-daemon.ts
@@ -65,6 +65,10 @@
 const ordinaryLinesPerSecond = 5;
 /** The bodies of all requests in progress, and the responses to them, may each take the memory limit divided by this, beside heap and sockets. */
 const bodyMemoryDivisor = 8;
+/** The inputs of all calls of peers in progress may take the memory limit divided by this; a full message takes 1 MB. */
+const peerMemoryDivisor = 16;
+/** Time within which a call of a peer has to arrive, in ms; a peer gives up after a tenth of it. */
+const peerRequestTimeoutMs = 4000;
 /** Time left in a graceful shutdown after the last responses are flushed, in ms: for notifying the peers and for timers that fire late under load. */
 const stopReserveMs = 300;
 /** Time for which callers may still use cached addresses that include this instance after a shutdown is announced, in ms: three TTLs. */
@@ -191,8 +195,8 @@
 		this._routeListener = this._store.add(new HttpListener({}, (request, response) => {
 			this._endpoints.handleResolve(request, response);
 		}, this._notableLogger));
-		const handlePeerCall = createCallHandler(createSyncRouter(this._members, logger));
-		this._peerListener = this._store.add(new HttpListener({keepAliveTimeout: 30_000}, async (request, response) => {
+		const handlePeerCall = createCallHandler(createSyncRouter(this._members, logger), new HeldBytes(settings.limits.memoryBytes / peerMemoryDivisor));
+		this._peerListener = this._store.add(new HttpListener({keepAliveTimeout: 30_000, requestTimeout: peerRequestTimeoutMs, connectionsCheckingInterval: 1000}, async (request, response) => {
 			await handlePeerCall(request, response);
 		}, this._notableLogger));
 		this._peerListener.server.on('connection', (socket: Socket) => {
--- a/src/io/gateway/create-call-handler.test.ts
+++ b/src/io/gateway/create-call-handler.test.ts
@@ -4,6 +4,7 @@
 import {fromPromise} from 'neverthrow';
 import {request} from 'undici';
 import {silentLogger} from '../../../test/support/silent-logger.js';
+import {HeldBytes} from '../../policy/gateway/held-bytes.js';
 import {HttpListener} from '../http-listener.js';
 import {createCallHandler} from './create-call-handler.js';
 import {createSyncRouter} from './create-sync-router.js';
@@ -20,7 +21,10 @@
 	},
 });
 
+const heldBytesLimit = 20_000_000;
+
 describe('createCallHandler', () => {
+	const heldBytes = new HeldBytes(heldBytesLimit);
 	const handleCall = createCallHandler(createSyncRouter({
 		handleMessage(message) {
 			if (message.from === 'broken') {
@@ -30,7 +34,7 @@
 			return {...message, from: 'b'};
 		},
 		getConfiguration: () => undefined,
-	}, silentLogger));
+	}, silentLogger), heldBytes);
 	const listener = new HttpListener({}, (incoming, response) => {
 		void handleCall(incoming, response);
 	});
@@ -49,6 +53,20 @@
 		return {status: statusCode, body: json};
 	};
 
+	it('refuses an input that is too large for the memory of all calls, and releases what it held', async () => {
+		heldBytes.tryTake(heldBytesLimit - 100_000);
+		const result = await fromPromise(send('sync', 'a'.repeat(200_000)), error => error as Error);
+		// The response is lost when the connection is reset while the input is still being sent.
+		expect(result.map(({status}) => status).unwrapOr(429)).toBe(429);
+		heldBytes.release(heldBytesLimit - 100_000);
+		expect(heldBytes.held).toBe(0);
+	});
+
+	it('refuses an input with too many values', async () => {
+		expect(await send('sync', `[1${',1'.repeat(125_000)}]`)).toMatchObject({status: 400});
+		expect(heldBytes.held).toBe(0);
+	});
+
 	it.each([
 		['sync', envelope, 200, {result: {data: {from: 'b'}}}],
 		['configuration', '3', 200, {result: {}}],
--- a/src/io/gateway/send-json.ts
+++ b/src/io/gateway/send-json.ts
@@ -1,5 +1,8 @@
 import {Buffer} from 'node:buffer';
 import {request as openRequest, type Agent} from 'node:http';
+import {ByteCollector} from '../../common/byte-collector.js';
+import {parseBoundedJson} from '../../common/parse-bounded-json.js';
+import {hasTooManyPieces} from '../../policy/has-too-many-pieces.js';
 
 type JsonCall = {
 	readonly method: string;
@@ -12,7 +15,7 @@
 type JsonResponse = {
 	readonly ok: boolean;
 	readonly status: number;
-	/** Parses the body; rejects when it is not JSON. */
+	/** Parses the body; rejects when it is not JSON, or has too many values to be held. */
 	json(): Promise<unknown>;
 };
 
@@ -24,16 +27,17 @@
 	const {method, body, agent, timeoutMs} = options;
 	const headers = body === undefined ? {} : {'content-type': 'application/json', 'content-length': Buffer.byteLength(body)};
 	const request = openRequest(url, {method, agent, headers}, response => {
-		const chunks: Uint8Array[] = [];
-		let byteCount = 0;
+		const collector = new ByteCollector();
+		let pieceCount = 0;
 		response.on('data', (chunk: Uint8Array) => {
-			byteCount += chunk.length;
-			if (byteCount > maxResponseBytes) {
-				response.destroy(new Error(`the response from ${url} is larger than ${maxResponseBytes} bytes`));
+			pieceCount++;
+			const byteCount = collector.length + chunk.length;
+			if (byteCount > maxResponseBytes || hasTooManyPieces(pieceCount, byteCount)) {
+				response.destroy(new Error(`the response from ${url} is larger than ${maxResponseBytes} bytes or arrives in too many pieces`));
 				return;
 			}
 
-			chunks.push(chunk);
+			collector.add(chunk);
 		});
 		response.on('error', error => {
 			clearTimeout(timer);
@@ -42,7 +46,7 @@
 		response.on('end', () => {
 			clearTimeout(timer);
 			const status = response.statusCode ?? 0;
-			resolve({ok: status >= 200 && status < 300, status, json: async () => JSON.parse(Buffer.concat(chunks).toString('utf8')) as unknown});
+			resolve({ok: status >= 200 && status < 300, status, json: async () => parseBoundedJson(Buffer.from(collector.mergeBlocks().buffer, 0, collector.length).toString('utf8'))});
 		});
 	});
 	const timer = setTimeout(() => {
--- a/src/io/gateway/sync-client.test.ts
+++ b/src/io/gateway/sync-client.test.ts
@@ -1,6 +1,7 @@
 import {
 	afterEach, describe, expect, it,
 } from 'vitest';
+import {HeldBytes} from '../../policy/gateway/held-bytes.js';
 import {silentLogger} from '../../../test/support/silent-logger.js';
 import type {GatewayConfiguration} from '../../common/gateway/gateway-configuration.js';
 import {MemberState} from '../../common/gateway/member-state.js';
@@ -46,7 +47,7 @@
 	});
 	const client = new SyncClient(meter, disabledMetrics, silentLogger);
 	let published: PublishedConfiguration | undefined;
-	const handleCall = createCallHandler(createSyncRouter({handleMessage: received => ({...received, from: 'b'}), getConfiguration: () => published}, silentLogger));
+	const handleCall = createCallHandler(createSyncRouter({handleMessage: received => ({...received, from: 'b'}), getConfiguration: () => published}, silentLogger), new HeldBytes(10_000_000));
 
 	const listen = async (): Promise<string> => {
 		const listened = await listener.listen({host: '127.0.0.1', port: 0});
--- a/tools/load/experiments/peer-calls.ts
+++ b/tools/load/experiments/peer-calls.ts
@@ -2,6 +2,7 @@
 import {createHTTPHandler} from '@trpc/server/adapters/standalone';
 import {MemberState} from '../../../src/common/gateway/member-state.js';
 import type {SyncMessage} from '../../../src/common/gateway/sync-message.js';
+import {HeldBytes} from '../../../src/policy/gateway/held-bytes.js';
 import {disabledMetrics} from '../../../src/io/disabled-metrics.js';
 import {ByteMeter} from '../../../src/io/gateway/byte-meter.js';
 import {createCallHandler} from '../../../src/io/gateway/create-call-handler.js';
@@ -75,7 +76,7 @@
 	description: 'Processor time of a call between gateways, with their own handler and with the library handler, against the control-plane limit',
 	async run(context) {
 		const arms: ArmResult[] = [];
-		for (const [name, handler] of [['gateway', createCallHandler(router)], ['library', createHTTPHandler({router})]] as const) {
+		for (const [name, handler] of [['gateway', createCallHandler(router, new HeldBytes(Number.POSITIVE_INFINITY))], ['library', createHTTPHandler({router})]] as const) {
 			arms.push({name, callMs: await measureCall(context, handler)});
 			context.log(`${name}: measured`);
 		}
