Apply the configured limit of header bytes

Cause: limits.maxHeaderBytes was decoded and applied nowhere; Node's own 16,384 held.

Fix: Node's server takes the limit for each new connection. Since it cannot change on an open one, idle connections close when the limit changes and the others after their last response; a request that crosses the close was not read.

--- a/src/bin/caller-listener.ts
+++ b/src/bin/caller-listener.ts
@@ -1,4 +1,6 @@
-import type {IncomingMessage, ServerResponse} from 'node:http';
+import {
+	maxHeaderSize, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
 import type {Duplex} from 'node:stream';
 import type {DisposableLike} from '../common/disposable-like.js';
 import type {BufferedResponse} from '../common/gateway/buffered-response.js';
@@ -44,9 +46,16 @@
 		});
 	}
 
-	/** Applies the time limits for the requests and idle connections of callers. */
-	setLimits({idleTimeoutMs, headersTimeoutMs}: GatewayLimits): void {
-		const {server} = this.listener;
+	/** Applies the limits for the headers and idle connections of callers. */
+	setLimits({headerBytes, idleTimeoutMs, headersTimeoutMs}: GatewayLimits): void {
+		const server = this.listener.server as Server & {maxHeaderSize?: number};
+		if (headerBytes !== (server.maxHeaderSize ?? maxHeaderSize)) {
+			// Node.js reads this property for each new connection; its types know the option only.
+			server.maxHeaderSize = headerBytes;
+			this._options.connections.setHeaderLimit(headerBytes);
+			server.closeIdleConnections();
+		}
+
 		server.keepAliveTimeout = idleTimeoutMs;
 		server.headersTimeout = headersTimeoutMs;
 	}
--- a/src/controllers/caller-connections.ts
+++ b/src/controllers/caller-connections.ts
@@ -18,10 +18,10 @@
 close after the last of them (RFC 9112, section 9.3.2).
 */
 export class CallerConnections {
-	private readonly _openRequests = new WeakMap<Duplex, Map<ServerResponse, OpenRequest>>();
+	private readonly _openRequests = new Map<Duplex, Map<ServerResponse, OpenRequest>>();
 
 	/** @param _headerBytes - Maximum size of the headers of a request, which the listener enforces. */
-	constructor(private readonly _headerBytes: number) {}
+	constructor(private _headerBytes: number) {}
 
 	/**
 	Adds a request. Returns false when an earlier response on the connection closes it: the request will get no response, which tells the
@@ -54,9 +54,14 @@
 
 	/** Makes the connection of a request close after the response to the last request on it. */
 	closeAfterLast({request: {socket}}: Pick<OpenContext, 'request'>): void {
-		const last = [...this._openRequests.get(socket)?.keys() ?? []].at(-1);
-		if (last !== undefined) {
-			last.shouldKeepAlive = false;
+		this._closeAfterLast(this._openRequests.get(socket));
+	}
+
+	/** Changes the maximum size of headers. Node.js applies it to new connections only, so those with requests in progress close after the last of them. */
+	setHeaderLimit(headerBytes: number): void {
+		this._headerBytes = headerBytes;
+		for (const openRequests of this._openRequests.values()) {
+			this._closeAfterLast(openRequests);
 		}
 	}
 
@@ -92,6 +97,13 @@
 		}
 	}
 
+	private _closeAfterLast(openRequests: Map<ServerResponse, OpenRequest> | undefined): void {
+		const last = [...openRequests?.keys() ?? []].at(-1);
+		if (last !== undefined) {
+			last.shouldKeepAlive = false;
+		}
+	}
+
 	private _convertClientError(error: NodeJS.ErrnoException, isDispatched: boolean): RequestError {
 		if (error.code === 'HPE_HEADER_OVERFLOW') {
 			return new RequestError(ErrorKind.HeadersTooLarge, `the headers have more than ${this._headerBytes} bytes`);
@@ -114,6 +126,8 @@
 				for (const response of this._openRequests.get(socket)?.keys() ?? []) {
 					this._end(socket, response);
 				}
+
+				this._openRequests.delete(socket);
 			});
 		}
 
