--- a/src/filters/dispatch-filter.ts
+++ b/src/filters/dispatch-filter.ts
@@ -8,6 +8,7 @@
 import type {ServiceSpec} from '../common/service-spec.js';
 import type {SlotLease} from '../common/slot-lease.js';
 import type {ConnectionController} from '../controllers/connection-controller.js';
+import {checkResponseHead} from '../io/gateway/check-response-head.js';
 import type {ExchangeFailure} from '../io/exchange-failure.js';
 import type {TargetResponse} from '../io/target-response.js';
 import type {TargetConnection} from '../io/target-connection.js';
@@ -143,6 +144,14 @@
 		const response = result.value;
 		record.apply(AttemptInput.ResponseStarted);
 		this._recordResponseTime(context, dispatchedAt);
+		const fault = checkResponseHead(response);
+		if (fault !== undefined) {
+			connection.dispose();
+			record.apply(AttemptInput.Lost);
+			lease.release(ExchangeEnd.Failed);
+			return err(new RequestError(ErrorKind.AnswerCut, `target ${target.id}: ${fault}`));
+		}
+
 		const loadReport = parseLoadReport(response.rawHeaders, service.drainHeader);
 		if (this._isNotRunRefusal(service, response)) {
 			// A response does not identify its request: if the target wrote the refusal twice, the second copy would pass for the response to the next request.
--- a/src/filters/gateway/attempt-runner.ts
+++ b/src/filters/gateway/attempt-runner.ts
@@ -101,12 +101,18 @@
 
 			case 'answer': {
 				context.sentCount++;
+				const result = this._handleResponse(context, recordedLease, record, exchange.answer);
+				if (result.isErr()) {
+					memory.release();
+					return result;
+				}
+
 				// A caller that does not read its response may lose it only after the time for which it waits.
 				memory.setEviction(context.deadlineAt, () => {
 					context.response.destroy();
 				});
 				context.keepUntilEnd(memory);
-				return this._handleResponse(context, recordedLease, record, exchange.answer);
+				return result;
 			}
 		}
 	}
