Settle calls and health checks whose response switches protocols

Cause: Node closes the connection of such a response without an error, and destroying the request at the time limit is then without effect, so sendJson and sendProbe never settled. A health check that never settles keeps the target's next ones waiting; the loop that reads the registry, and the exchange with a peer, wait for sendJson.

Fix: the close of a request without a response fails the call. It is judged only when there was no response, since the close may come before the rest of one is read.

--- a/src/io/gateway/send-json.ts
+++ b/src/io/gateway/send-json.ts
@@ -26,7 +26,9 @@
 export const sendJson = async (url: string, options: JsonCall): Promise<JsonResponse> => new Promise((resolve, reject) => {
 	const {method, body, agent, timeoutMs} = options;
 	const headers = body === undefined ? {} : {'content-type': 'application/json', 'content-length': Buffer.byteLength(body)};
+	let hasResponse = false;
 	const request = openRequest(url, {method, agent, headers}, response => {
+		hasResponse = true;
 		const collector = new ByteCollector();
 		let pieceCount = 0;
 		response.on('data', (chunk: Uint8Array) => {
@@ -56,5 +58,12 @@
 		clearTimeout(timer);
 		reject(error);
 	});
+	request.once('close', () => {
+		// Node.js closes the connection of a response that switches protocols without an error.
+		if (!hasResponse) {
+			clearTimeout(timer);
+			reject(new Error(`the connection to ${url} closed without a response`));
+		}
+	});
 	request.end(body);
 });
--- a/src/io/gateway/target-client.test.ts
+++ b/src/io/gateway/target-client.test.ts
@@ -401,6 +401,22 @@
 		client.dispose();
 	});
 
+	// Guards against a health check that never settles, after which the target is never asked again.
+	it.each([
+		['switches protocols', 'HTTP/1.1 101 Any\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n'],
+		['is no HTTP', 'hello\r\n\r\n'],
+		['does not come', ''],
+	])('settles a health check whose response %s', async (_name, bytes) => {
+		const client = await listen(socket => {
+			socket.write(bytes);
+		});
+		const probe = client.sendProbe({
+			path: '/', host: 'h', timeoutMs: 100, isProbeResponse: () => true,
+		});
+		expect(await Promise.race([probe, sleep(1000, 'pending')])).toBeUndefined();
+		client.dispose();
+	});
+
 	it('reports that nothing was sent when no connection can be opened', async () => {
 		const client = await listen(() => undefined);
 		await new Promise(resolve => {
--- a/src/io/gateway/target-client.ts
+++ b/src/io/gateway/target-client.ts
@@ -175,10 +175,14 @@
 			const timer = setTimeout(() => {
 				request.destroy();
 			}, timeoutMs);
-			request.on('error', () => {
+			const fail = () => {
 				clearTimeout(timer);
 				resolve(undefined);
-			});
+			};
+
+			request.on('error', fail);
+			// Node.js closes the connection of a response that switches protocols without an error.
+			request.once('close', fail);
 			request.on('response', response => {
 				// The timer runs until the body ends, so that it closes the connection of an endless body.
 				response.once('end', () => {
