Keep no empty block in a ByteCollector

The first block of a body of unknown length is empty, and keeping it among the full ones needed a second condition in mergeBlocks. No behaviour changes; byte-collector.test.ts passes.

--- a/src/common/byte-collector.ts
+++ b/src/common/byte-collector.ts
@@ -36,7 +36,10 @@
 		this._block.set(head, this._blockLength);
 		this._blockLength += head.length;
 		if (rest.length > 0) {
-			this._fullBlocks.push(this._block);
+			if (this._blockLength > 0) {
+				this._fullBlocks.push(this._block);
+			}
+
 			this._block = new Uint8Array(capacity - this._capacity);
 			this._block.set(rest);
 			this._blockLength = rest.length;
@@ -49,7 +52,7 @@
 	/** Merges the collected bytes; copies them unless they are in one block. */
 	mergeBlocks(): Uint8Array<ArrayBuffer> {
 		const last = this._block.subarray(0, this._blockLength);
-		if (this._fullBlocks.length === 0 || this._blockLength === this._length) {
+		if (this._fullBlocks.length === 0) {
 			return last;
 		}
 
