Split the buffering of a response from the client of a target

The code moves unchanged but for the wording of one detail; the tests of src/io/gateway and of the platform pass.

--- a/src/io/gateway/target-client.ts
+++ b/src/io/gateway/target-client.ts
@@ -2,15 +2,11 @@
 	request as openRequest, type ClientRequest, type IncomingMessage, type RequestOptions,
 } from 'node:http';
 import {fromThrowable, type Result} from 'neverthrow';
-import {ByteCollector} from '../../common/byte-collector.js';
 import type {DisposableLike} from '../../common/disposable-like.js';
 import type {BufferedResponse} from '../../common/gateway/buffered-response.js';
 import {hasNoBody} from '../../common/has-no-body.js';
-import type {ResponseHold} from '../../policy/gateway/response-hold.js';
-import {hasDelimitedBody} from '../../policy/has-delimited-body.js';
-import {hasTooManyPieces} from '../../policy/has-too-many-pieces.js';
 import {checkResponseHead} from './check-response-head.js';
-import {detectCleanClose} from './detect-clean-close.js';
+import {collectResponse} from './collect-response.js';
 import type {OutgoingRequest} from './outgoing-request.js';
 import type {ProbeRequest} from './probe-request.js';
 import {TargetAgent} from './target-agent.js';
@@ -152,7 +148,7 @@
 					request.shouldKeepAlive = false;
 				}
 
-				this._collectBody(outgoing, response, settle);
+				collectResponse({method, memory, maxResponseBytes: this._options.maxResponseBytes}, response, settle);
 			});
 		});
 	}
@@ -266,55 +262,4 @@
 			});
 		});
 	}
-
-	private _collectBody({method, memory}: Pick<OutgoingRequest, 'method' | 'memory'>, response: IncomingMessage, resolve: (exchange: TargetExchange) => void): void {
-		const collector = new ByteCollector();
-		const cleanClose = hasDelimitedBody(method, response.statusCode ?? 0, response.rawHeaders) ? undefined : detectCleanClose(response.socket);
-		let pieceCount = 0;
-		memory.setEviction(Number.NEGATIVE_INFINITY, () => {
-			response.destroy(new Error(`the response was given up at ${collector.length} bytes, since smaller ones needed its memory`));
-		});
-		response.on('data', (chunk: Uint8Array) => {
-			pieceCount++;
-			const fault = this._checkGrowth(collector, chunk, pieceCount, memory);
-			if (fault === undefined) {
-				collector.add(chunk);
-			} else {
-				response.destroy(new Error(fault));
-			}
-		});
-		const finish = async () => {
-			const isComplete = response.complete && (cleanClose === undefined || await cleanClose);
-			resolve(isComplete
-				? {kind: 'answer', answer: {status: response.statusCode ?? 0, rawHeaders: response.rawHeaders, body: collector.mergeBlocks()}}
-				: {kind: 'lost', detail: 'the response was truncated'});
-		};
-
-		response.on('end', () => {
-			void finish();
-		});
-		response.on('error', error => {
-			resolve({kind: 'lost', detail: error.message});
-		});
-		response.on('close', () => {
-			if (!response.complete) {
-				resolve({kind: 'lost', detail: 'the response was truncated'});
-			}
-		});
-	}
-
-	/** Takes memory for the next piece of a response; returns why the response has to be given up, if so. */
-	private _checkGrowth(collector: ByteCollector, {length}: Uint8Array, pieceCount: number, memory: ResponseHold): string | undefined {
-		const {maxResponseBytes} = this._options;
-		if (collector.length + length > maxResponseBytes) {
-			return `the response is larger than ${maxResponseBytes} bytes`;
-		}
-
-		if (hasTooManyPieces(pieceCount, collector.length + length)) {
-			return `the response arrives in more than ${pieceCount - 1} pieces for ${collector.length} bytes`;
-		}
-
-		const capacity = collector.computeCapacity(length);
-		return capacity <= memory.bytes || memory.resize(capacity) ? undefined : 'the responses in progress take all the memory that they may';
-	}
 }
