Move a gateway's listeners and its chain of filters out of the daemon

gateway-daemon.ts had 360 lines and took a few more with each part. The five listeners and their memory limits are now in gateway-listeners.ts, the filters in create-gateway-chain.ts; the daemon has 284 lines. No behaviour changes: platform/adapter.test.ts and platform/two-instances.test.ts pass, 53 cases.

--- a/src/bin/gateway-daemon.ts
+++ b/src/bin/gateway-daemon.ts
@@ -1,6 +1,5 @@
 import {maxHeaderSize} from 'node:http';
-import type {Socket} from 'node:net';
-import {err, ok, type Result} from 'neverthrow';
+import {ok, type Result} from 'neverthrow';
 import type {DisposableLike} from '../common/disposable-like.js';
 import {DisposableStore} from '../common/disposable-store.js';
 import type {GatewaySettings} from '../common/gateway/gateway-settings.js';
@@ -9,7 +8,6 @@
 import type {Logger} from '../common/logger.js';
 import {CallerConnections} from '../controllers/caller-connections.js';
 import {EntryController} from '../controllers/gateway/entry-controller.js';
-import {HeadMemory} from '../controllers/gateway/head-memory.js';
 import {IntakeController} from '../controllers/gateway/intake-controller.js';
 import {MemberController} from '../controllers/gateway/member-controller.js';
 import {PlacementController} from '../controllers/gateway/placement-controller.js';
@@ -19,41 +17,21 @@
 import {PauseWatch} from '../controllers/pause-watch.js';
 import {ShutdownController} from '../controllers/shutdown-controller.js';
 import {SocketReadTracker} from '../controllers/socket-read-tracker.js';
-import {CallerCheck} from '../filters/caller-check.js';
-import {createExceptionHandler} from '../filters/create-exception-handler.js';
-import {FilterChain} from '../filters/filter-chain.js';
-import {AttemptRunner} from '../filters/gateway/attempt-runner.js';
-import {BodyFilter} from '../filters/gateway/body-filter.js';
-import {CheckHeadFilter} from '../filters/gateway/check-head-filter.js';
+import {type FilterChain} from '../filters/filter-chain.js';
 import type {GatewayContext} from '../filters/gateway/gateway-context.js';
-import {IntakeFilter} from '../filters/gateway/intake-filter.js';
-import {LogFilter} from '../filters/gateway/log-filter.js';
-import {MeasureFilter} from '../filters/gateway/measure-filter.js';
-import {PipelineFilter} from '../filters/gateway/pipeline-filter.js';
-import {RetryFilter} from '../filters/gateway/retry-filter.js';
-import {RouteFilter} from '../filters/gateway/route-filter.js';
-import {SendResponseFilter} from '../filters/gateway/send-response-filter.js';
-import {TimeLimitFilter} from '../filters/gateway/time-limit-filter.js';
-import {OutcomeFilter} from '../filters/outcome-filter.js';
-import {ShutdownFilter} from '../filters/shutdown-filter.js';
-import {RefuseDuringShutdownFilter} from '../filters/refuse-during-shutdown-filter.js';
-import {CallerWatch} from '../io/caller-watch.js';
 import {RateLimitedLogger} from '../io/gateway/rate-limited-logger.js';
 import {ByteMeter} from '../io/gateway/byte-meter.js';
-import {createCallHandler} from '../io/gateway/create-call-handler.js';
-import {createSyncRouter} from '../io/gateway/create-sync-router.js';
 import {ScrapedMetrics} from '../io/gateway/scraped-metrics.js';
-import {parseAddress} from '../io/gateway/parse-address.js';
 import {SyncClient} from '../io/gateway/sync-client.js';
-import {HttpListener} from '../io/http-listener.js';
-import {ListenerOpener} from '../io/listener-opener.js';
 import {systemClock} from '../io/system-clock.js';
 import {addressTtlMs} from '../policy/gateway/address-ttl-ms.js';
 import {FleetShare} from '../policy/gateway/fleet-share.js';
 import {ResponseMemory} from '../policy/gateway/response-memory.js';
 import {HeldBytes} from '../policy/gateway/held-bytes.js';
 import {CallerListener} from './caller-listener.js';
+import {createGatewayChain} from './create-gateway-chain.js';
 import {GatewayEndpoints} from './gateway-endpoints.js';
+import {GatewayListeners} from './gateway-listeners.js';
 import {StartEnd} from './start-end.js';
 
 type GatewayDaemonOptions = {
@@ -64,16 +42,8 @@
 
 /** Log lines per second for requests that failed, were refused or took more than one attempt; each line occupies the event loop for 0.1 ms. */
 const notableLinesPerSecond = 50;
-/** Log lines per second for all other requests. */
-const ordinaryLinesPerSecond = 5;
 /** The bodies of all requests in progress, and the responses to them, may each take the memory limit divided by this, beside heap and sockets. */
 const bodyMemoryDivisor = 8;
-/** The inputs of all calls of peers in progress may take the memory limit divided by this; a full message takes 1 MB. */
-const peerMemoryDivisor = 16;
-/** The unfinished heads of all listeners may have the memory limit divided by this; on the heap, small headers take over ten times their size. */
-const headMemoryDivisor = 128;
-/** Time within which a call of a peer has to arrive, in ms; a peer gives up after a tenth of it. */
-const peerRequestTimeoutMs = 4000;
 const msPerSecond = 1000;
 /** Time left in a graceful shutdown after the last responses are flushed, in ms: for notifying the peers and for timers that fire late under load. */
 const stopReserveMs = 300;
@@ -99,13 +69,8 @@
 	private readonly _chain: FilterChain<GatewayContext, BufferedResponse>;
 	private readonly _connections = new CallerConnections(maxHeaderSize);
 	private readonly _callerListener: CallerListener;
-	private readonly _endpoints: GatewayEndpoints;
-	private readonly _readinessListener: HttpListener;
-	private readonly _routeListener: HttpListener;
-	private readonly _peerListener: HttpListener;
-	private readonly _metricsListener: HttpListener;
 	private readonly _responseMemory: ResponseMemory;
-	private readonly _opener: ListenerOpener;
+	private readonly _listeners: GatewayListeners;
 	private _isStarted = false;
 	private _isStopping = false;
 	private _isServing = false;
@@ -185,9 +150,24 @@
 				this._notableLogger.logError('response-evicted', {bytes, heldBytes: this._responseMemory.heldBytes});
 			},
 		});
-		this._chain = this._createChain();
+		const bodyMemory = new HeldBytes(settings.limits.memoryBytes / bodyMemoryDivisor);
+		this._chain = createGatewayChain({
+			settings,
+			site,
+			view: this._view,
+			logger,
+			notableLogger: this._notableLogger,
+			metrics: this._metrics,
+			connections: this._connections,
+			shutdown: this._shutdown,
+			intake: this._intake,
+			placement: this._placement,
+			readTracker: this._readTracker,
+			bodyMemory,
+			responseMemory: this._responseMemory,
+		});
 		this._callerListener = this._store.add(this._createCallerListener());
-		this._endpoints = new GatewayEndpoints({
+		const endpoints = new GatewayEndpoints({
 			site,
 			view: this._view,
 			entries: this._entries,
@@ -200,50 +180,24 @@
 				this._metrics.recordGauge('response.held_bytes', this._responseMemory.heldBytes);
 			},
 		});
-		this._readinessListener = this._store.add(new HttpListener({}, (request, response) => {
-			this._endpoints.handleReadiness(request, response);
-		}, this._notableLogger));
-		this._routeListener = this._store.add(new HttpListener({}, (request, response) => {
-			this._endpoints.handleResolve(request, response);
-		}, this._notableLogger));
-		const handlePeerCall = createCallHandler(createSyncRouter(this._members, logger), new HeldBytes(settings.limits.memoryBytes / peerMemoryDivisor));
-		this._peerListener = this._store.add(new HttpListener({keepAliveTimeout: 30_000, requestTimeout: peerRequestTimeoutMs, connectionsCheckingInterval: 1000}, async (request, response) => {
-			await handlePeerCall(request, response);
-		}, this._notableLogger));
-		this._peerListener.server.on('connection', (socket: Socket) => {
-			this._peerMeter.add(socket);
-		});
-		this._metricsListener = this._store.add(new HttpListener({}, async (_request, response) => {
-			await this._endpoints.handleMetrics(response);
-		}, this._notableLogger));
-		const headMemory = this._store.add(new HeadMemory({limitBytes: settings.limits.memoryBytes / headMemoryDivisor, logger: this._notableLogger}));
-		for (const {server} of [this._callerListener.listener, this._readinessListener, this._routeListener, this._peerListener, this._metricsListener]) {
-			headMemory.watch(server);
-		}
-
-		this._opener = this._store.add(new ListenerOpener({clock: systemClock, logger}));
+		this._listeners = this._store.add(new GatewayListeners({
+			settings,
+			callerListener: this._callerListener,
+			endpoints,
+			members: this._members,
+			peerMeter: this._peerMeter,
+			logger,
+			notableLogger: this._notableLogger,
+		}));
 	}
 
 	/** Opens the listeners and starts to fetch configuration, targets and members; an error names the address that could not be opened. */
 	async start(): Promise<Result<StartEnd, Error>> {
-		const {listeners} = this._options.settings;
-		const results = await Promise.all([
-			this._opener.open(this._callerListener.listener, parseAddress(listeners.data)),
-			this._opener.open(this._readinessListener, parseAddress(listeners.readiness)),
-			this._opener.open(this._routeListener, parseAddress(listeners.route)),
-			this._opener.open(this._peerListener, parseAddress(listeners.peer)),
-		]);
-		if (this._opener.isStopped) {
-			return ok(StartEnd.Stopped);
-		}
-
-		const failed = results.find(result => result.isErr());
-		if (failed?.isErr()) {
-			return err(failed.error);
+		const opened = await this._listeners.open();
+		if (opened.isErr() || opened.value === StartEnd.Stopped) {
+			return opened;
 		}
 
-		// Metrics are of no use to callers, so their address holds nothing up, and the others come first.
-		this._opener.openInBackground(this._metricsListener, parseAddress(listeners.metrics));
 		this._isStarted = true;
 		void this._registryReader.start();
 		this._members.start();
@@ -257,7 +211,7 @@
 
 		// Peers may have completed the view while an address was still taken.
 		this._updateServing();
-		this._options.logger.logInfo('gateway-started', {listeners, filters: this._chain.names});
+		this._options.logger.logInfo('gateway-started', {listeners: this._options.settings.listeners, filters: this._chain.names});
 		return ok(StartEnd.Started);
 	}
 
@@ -270,7 +224,7 @@
 	/** Ends the start, or starts a graceful shutdown; does nothing once one has started. */
 	handleSignal(): void {
 		if (!this._isStarted) {
-			this._opener.dispose();
+			this._listeners.stopOpening();
 		} else if (!this._isStopping) {
 			this._shutdown.handleSignal();
 		}
@@ -304,36 +258,6 @@
 		});
 	}
 
-	private _createChain(): FilterChain<GatewayContext, BufferedResponse> {
-		const {site, logger} = this._options;
-		const callerCheck = new CallerCheck({readTracker: this._readTracker, clock: systemClock});
-		return new FilterChain<GatewayContext, BufferedResponse>([
-			new ShutdownFilter({shutdown: this._shutdown, connections: this._connections}),
-			new LogFilter({
-				notable: this._notableLogger,
-				ordinary: new RateLimitedLogger({logger, clock: systemClock, linesPerSecond: ordinaryLinesPerSecond}),
-				view: this._view,
-				clock: systemClock,
-			}),
-			new MeasureFilter({metrics: this._metrics, clock: systemClock}),
-			new SendResponseFilter(this._connections),
-			new OutcomeFilter(),
-			new PipelineFilter(this._connections),
-			new CheckHeadFilter(),
-			new RouteFilter(this._view, Math.random),
-			new TimeLimitFilter({clock: systemClock, callerWatch: new CallerWatch(), timeoutHeader: site.headers.timeoutMs}),
-			new RefuseDuringShutdownFilter<GatewayContext, BufferedResponse>({shutdown: this._shutdown, isIdempotent: ({route}) => route?.isIdempotent ?? false}),
-			new BodyFilter({view: this._view, heldBytes: new HeldBytes(this._options.settings.limits.memoryBytes / bodyMemoryDivisor)}),
-			new IntakeFilter(this._intake),
-			new RetryFilter({
-				placement: this._placement,
-				runner: new AttemptRunner({
-					headers: site.headers, clock: systemClock, callerCheck, responseMemory: this._responseMemory,
-				}),
-			}),
-		], createExceptionHandler(this._notableLogger));
-	}
-
 	private _createCallerListener(): CallerListener {
 		const listener = new CallerListener({
 			chain: this._chain,
