Let guards keep requests away from targets

Evacuations and cold targets both keep requests away from a target, for reasons of their own. A TargetGuard says how long a target may not be chosen, is told of each request assigned to it and is asked again before the request is written. TargetPool takes a list of guards, empty so far. A pause without a known end now refuses at once. Tests of target-pool, three new cases with a guard, pass.

--- a/src/controllers/gateway/service-placer.ts
+++ b/src/controllers/gateway/service-placer.ts
@@ -153,7 +153,8 @@
 
 		const pauseMs = pool.computePauseMs(excludedTargets);
 		if (pauseMs > 0 && clock.now() + pauseMs + pool.serviceTimes.usualMs > deadlineAt) {
-			return new RequestError(ErrorKind.NoTarget, `all targets of service "${service}" accept no requests for ${Math.round(pauseMs)} ms`, Math.max(minRetryAfterMs, pauseMs));
+			const detail = `all targets of service "${service}" accept no requests${Number.isFinite(pauseMs) ? ` for ${Math.round(pauseMs)} ms` : ''}`;
+			return new RequestError(ErrorKind.NoTarget, detail, Number.isFinite(pauseMs) ? Math.max(minRetryAfterMs, pauseMs) : minRetryAfterMs);
 		}
 
 		const waitMs = this.predictWaitMs();
--- a/src/controllers/gateway/target-pool.test.ts
+++ b/src/controllers/gateway/target-pool.test.ts
@@ -7,6 +7,7 @@
 import type {TargetReport} from '../../common/gateway/target-report.js';
 import {silentLogger} from '../../../test/support/silent-logger.js';
 import {disabledMetrics} from '../../io/disabled-metrics.js';
+import type {TargetGuard} from '../../policy/gateway/target-guard.js';
 import type {TargetLease} from './target-lease.js';
 import {TargetPool} from './target-pool.js';
 import type {TargetProber} from './target-prober.js';
@@ -25,6 +26,7 @@
 	let reports = new Map<string, Partial<TargetReport>>();
 	let leavingIds: string[] = [];
 	let pool: TargetPool;
+	let guards: TargetGuard[] = [];
 
 	/** Ids of targets in the pool's own failure domain begin with a-, those of others with b-. */
 	const createPool = (ids: readonly string[], probeRate = 1000): TargetPool => {
@@ -46,6 +48,7 @@
 			getMaxConnections: () => 2,
 			maxResponseBytes: 1_000_000,
 			getProbeRate: () => probeRate,
+			guards,
 			onRelease: () => undefined,
 			onLeaving(target) {
 				leavingIds.push(target.id);
@@ -58,6 +61,7 @@
 	};
 
 	beforeEach(() => {
+		guards = [];
 		now = 10_000;
 		loads = new Map();
 		probedIds = [];
@@ -207,4 +211,37 @@
 		expect(pool.chooseFromReports(anyTarget)?.hasFreeSlot).toBe(true);
 		expect(pool.inFlight).toBe(0);
 	});
+
+	// Guards against a request that reaches a target although a guard of the service keeps requests away from it.
+	it.each([
+		{
+			name: 'chooses another target while one is blocked', blockedMs: {'a-1': 50}, expected: 'a-2', pauseMs: 0,
+		},
+		{
+			name: 'chooses none while all are blocked', blockedMs: {'a-1': 50, 'a-2': 70}, expected: undefined, pauseMs: 50,
+		},
+		{
+			name: 'states no pause where no end is known', blockedMs: {'a-1': Number.POSITIVE_INFINITY, 'a-2': Number.POSITIVE_INFINITY}, expected: undefined, pauseMs: Number.POSITIVE_INFINITY,
+		},
+	])('$name', async ({blockedMs, expected, pauseMs}) => {
+		const granted: string[] = [];
+		const blocked = new Map<string, number>(Object.entries(blockedMs));
+		guards = [{
+			computeBlockedMs: ({target}) => blocked.get(target.id) ?? 0,
+			noteGrant(record) {
+				granted.push(record.target.id);
+			},
+			canSend: ({target}) => !blocked.has(target.id),
+		}];
+		loads = new Map([['a-1', idle], ['a-2', {...idle, running: 1}]]);
+		pool = createPool(['a-1', 'a-2']);
+		const choice = await pool.chooseWithProbes(anyTarget);
+		expect(choice?.pooledTarget.record.target.id).toBe(expected);
+		expect(pool.computePauseMs([])).toBe(pauseMs);
+		const lease = choice === undefined ? undefined : pool.grant(choice);
+		expect(granted).toEqual(expected === undefined ? [] : [expected]);
+		expect(lease?.canSend() ?? false).toBe(expected !== undefined);
+		blocked.set('a-2', 10);
+		expect(lease?.canSend() ?? false).toBe(false);
+	});
 });
--- a/src/controllers/gateway/target-pool.ts
+++ b/src/controllers/gateway/target-pool.ts
@@ -9,9 +9,11 @@
 import {TargetClient} from '../../io/gateway/target-client.js';
 import {computeConcurrencyLimit} from '../../policy/gateway/compute-concurrency-limit.js';
 import {RateLimiter} from '../../policy/gateway/rate-limiter.js';
+import type {TargetGuard} from '../../policy/gateway/target-guard.js';
 import {TargetPauses} from '../../policy/gateway/target-pauses.js';
 import {TargetRecord} from '../../policy/gateway/target-record.js';
 import type {ServiceTimeAverages} from '../../policy/gateway/service-time-averages.js';
+import {disposeClientWhenIdle} from './dispose-client-when-idle.js';
 import {LoadRefresher} from './load-refresher.js';
 import type {TargetCriteria} from './target-criteria.js';
 import type {TargetChoice} from './target-choice.js';
@@ -34,6 +36,8 @@
 	readonly maxResponseBytes: number;
 	/** Current limit of this instance's probes, per second and target. */
 	readonly getProbeRate: () => number;
+	/** Further reasons for which targets get no requests. */
+	readonly guards?: readonly TargetGuard[];
 	/** Called after a slot was freed. */
 	readonly onRelease: () => void;
 	/** Called when a target announces that it is leaving. */
@@ -48,8 +52,6 @@
 const rankJitter = 0.5;
 /** Time for which unused probes accumulate, in s. The limit is on the long-term average, over a day, and load peaks last some seconds. */
 const probeBurstSeconds = 10;
-/** Interval at which a removed target is checked for requests in flight, in ms. */
-const disposePollMs = 1000;
 
 /** The targets of one service. Chooses a target for each request, from load reports or with probes, and leases its slots. */
 export class TargetPool implements DisposableLike {
@@ -117,7 +119,7 @@
 				removedRecords.set(pooledTarget.record.target.id, pooledTarget.record);
 				this._pooledTargets.delete(key);
 				pooledTarget.isRemoved = true;
-				this._disposeWhenIdle(pooledTarget);
+				disposeClientWhenIdle(pooledTarget);
 			}
 		}
 
@@ -141,17 +143,11 @@
 		return [...this._pooledTargets.values()].every(({record}) => excludedTargets.includes(record.target.id));
 	}
 
-	/** Computes the time until the first target accepts requests again, in ms; 0 when one does now. */
+	/** Computes the time until the first target accepts requests again, in ms: 0 when one does now, `Infinity` when no time is known. */
 	computePauseMs(excludedTargets: readonly string[]): number {
 		const now = this._options.clock.now();
-		let shortestMs = Number.POSITIVE_INFINITY;
-		for (const {key, record} of this._pooledTargets.values()) {
-			if (!excludedTargets.includes(record.target.id)) {
-				shortestMs = Math.min(shortestMs, this._pauses.getRemainingMs(key, now));
-			}
-		}
-
-		return Number.isFinite(shortestMs) ? shortestMs : 0;
+		const candidates = [...this._pooledTargets.values()].filter(({record}) => !excludedTargets.includes(record.target.id));
+		return candidates.length === 0 ? 0 : Math.min(...candidates.map(pooledTarget => this._computeBlockedMs(pooledTarget, now)));
 	}
 
 	/** Chooses the best target by recent load reports, without probes; undefined when none is known to have a free slot. */
@@ -185,11 +181,15 @@
 		let isReleased = false;
 		record.inFlight++;
 		record.addRunning();
+		for (const guard of this._guards) {
+			guard.noteGrant(record, startedAt);
+		}
+
 		return {
 			target: record.target,
 			report,
 			client,
-			canSend: () => !pooledTarget.isRemoved && this._pauses.getRemainingMs(pooledTarget.key, clock.now()) === 0,
+			canSend: () => this._canSend(pooledTarget, clock.now()),
 			release: (end, targetReport) => {
 				if (isReleased) {
 					return;
@@ -221,7 +221,7 @@
 
 	dispose(): void {
 		for (const pooledTarget of this._pooledTargets.values()) {
-			this._disposeWhenIdle(pooledTarget);
+			disposeClientWhenIdle(pooledTarget);
 		}
 
 		this._pooledTargets.clear();
@@ -238,7 +238,7 @@
 		const now = this._options.clock.now();
 		let best: TargetChoice | undefined;
 		for (const pooledTarget of candidates) {
-			const isAvailable = !pooledTarget.isRemoved && this._pauses.getRemainingMs(pooledTarget.key, now) === 0;
+			const isAvailable = !pooledTarget.isRemoved && this._computeBlockedMs(pooledTarget, now) === 0;
 			const choice = isAvailable && (!pooledTarget.record.isUnhealthy(now) || this._areAllUnhealthy(now)) ? this._rater.rate(pooledTarget, now, bodyBytes) : undefined;
 			if (choice?.hasFreeSlot && (best === undefined || choice.estimateMs < best.estimateMs)) {
 				best = choice;
@@ -252,7 +252,7 @@
 	private _listCandidates({excludedTargets}: TargetCriteria): PooledTarget[] {
 		const {clock, random} = this._options;
 		const now = clock.now();
-		const all = [...this._pooledTargets.values()].filter(({key, record}) => !excludedTargets.includes(record.target.id) && this._pauses.getRemainingMs(key, now) === 0);
+		const all = [...this._pooledTargets.values()].filter(pooledTarget => !excludedTargets.includes(pooledTarget.record.target.id) && this._computeBlockedMs(pooledTarget, now) === 0);
 		const healthy = all.filter(({record}) => !record.isUnhealthy(now));
 		const notEjected = (healthy.length > 0 ? healthy : all).filter(({record}) => !record.isEjected(now));
 		// When all targets are ejected, requests are sent to them anyway, to detect a recovery.
@@ -263,6 +263,19 @@
 			.map(({pooledTarget}) => pooledTarget);
 	}
 
+	private get _guards(): readonly TargetGuard[] {
+		return this._options.guards ?? [];
+	}
+
+	private _canSend({isRemoved, key, record}: PooledTarget, now: number): boolean {
+		return !isRemoved && this._pauses.getRemainingMs(key, now) === 0 && this._guards.every(guard => guard.canSend(record, now));
+	}
+
+	/** Computes the time until a target may be chosen, in ms. */
+	private _computeBlockedMs({key, record}: PooledTarget, now: number): number {
+		return Math.max(this._pauses.getRemainingMs(key, now), ...this._guards.map(guard => guard.computeBlockedMs(record, now)));
+	}
+
 	private _applyReport(pooledTarget: PooledTarget, {isLeaving, pauseMs}: TargetReport): void {
 		const {clock, metrics, onLeaving} = this._options;
 		if (pauseMs > 0) {
@@ -279,13 +292,4 @@
 	private _areAllUnhealthy(now: number): boolean {
 		return [...this._pooledTargets.values()].every(({record}) => record.isUnhealthy(now));
 	}
-
-	private _disposeWhenIdle({record, client}: PooledTarget): void {
-		const timer = setInterval(() => {
-			if (record.inFlight === 0) {
-				clearInterval(timer);
-				client.dispose();
-			}
-		}, disposePollMs).unref();
-	}
 }
