Give host names that share services the same entries, and prefer fast instances

Each host name got instances of its own. Names that share a service now share their entries, limited to what the slots of the targets need, fastest instances first; a machine with `cores` 2 counts as twice as fast (platform/decode-settings.ts took the share of a core alone). New tests: group-hosts, limit-entries, one of entry-controller; entry-controller's test of a newer configuration now uses two services, since names of one service are meant to share. 115 cases of the five files pass.

--- a/src/bin/gateway-daemon.ts
+++ b/src/bin/gateway-daemon.ts
@@ -122,7 +122,9 @@
 			countInstances: () => this._members.listRunning().length,
 			countPeerBytes: () => this._peerMeter.totalBytes,
 		}));
-		this._entries = new EntryController({members: this._members, view: this._view, failureDomain: settings.instance.failureDomain});
+		this._entries = new EntryController({
+			members: this._members, view: this._view, failureDomain: settings.instance.failureDomain, failureDomainCount: settings.failureDomains.length,
+		});
 		this._shutdown = this._store.add(this._createShutdown());
 		this._pauseWatch = this._store.add(new PauseWatch({clock: systemClock, logger}));
 		this._placement = this._store.add(new PlacementController({
--- a/src/controllers/gateway/entry-controller.ts
+++ b/src/controllers/gateway/entry-controller.ts
@@ -3,13 +3,17 @@
 import {addressTtlMs} from '../../policy/gateway/address-ttl-ms.js';
 import {assignEntries} from '../../policy/gateway/assign-entries.js';
 import type {GatewayMember} from '../../common/gateway/gateway-member.js';
-import type {HostCapacity} from '../../policy/gateway/host-capacity.js';
+import {groupHosts} from '../../policy/gateway/group-hosts.js';
+import type {HostGroup} from '../../policy/gateway/host-group.js';
+import {limitEntries} from '../../policy/gateway/limit-entries.js';
 import type {MemberController} from './member-controller.js';
 import type {SiteView} from './site-view.js';
 
 type EntryControllerOptions = {
 	readonly members: Pick<MemberController, 'listServing' | 'changeNumber'>;
 	readonly view: SiteView;
+	/** Number of failure domains of the site, whose callers share the targets. */
+	readonly failureDomainCount: number;
 	/** Failure domain that is assumed for a caller that does not state its own. */
 	readonly failureDomain: string;
 };
@@ -27,24 +31,15 @@
 /** Addresses in one response; callers accept no more. */
 const maxAddresses = 64;
 
-const sumSlots = (services: ReadonlySet<string>, slots: ReadonlyMap<string, number>): number => {
-	let sum = 0;
-	for (const service of services) {
-		sum += slots.get(service) ?? 0;
-	}
-
-	return sum;
-};
-
 /** Resolves a host name to the instances that a caller should connect to: those in its failure domain that are assigned to the host name. */
 export class EntryController {
-	private _hosts: HostCapacity[] = [];
+	private _groups: HostGroup[] = [];
 	private readonly _assignments = new Map<string, Assignment>();
 
 	constructor(private readonly _options: EntryControllerOptions) {
 		const {view} = _options;
 		const update = () => {
-			this._hosts = this._countHostSlots();
+			this._groups = this._groupHosts();
 			this._assignments.clear();
 		};
 
@@ -68,7 +63,7 @@
 		}
 
 		const serving = members.listServing(failureDomain);
-		const assignment = {changeNumber: members.changeNumber, serving, entries: assignEntries(this._hosts, serving)};
+		const assignment = {changeNumber: members.changeNumber, serving, entries: this._assignEntries(serving)};
 		if (this._assignments.size >= maxCachedAssignments) {
 			this._assignments.clear();
 		}
@@ -77,8 +72,20 @@
 		return assignment;
 	}
 
-	/** Counts the slots behind each host name: those of the targets of all services in its routes. */
-	private _countHostSlots(): HostCapacity[] {
+	private _assignEntries(serving: readonly GatewayMember[]): Map<string, readonly GatewayMember[]> {
+		const assigned = assignEntries(this._groups, serving);
+		const entries = new Map<string, readonly GatewayMember[]>();
+		for (const {name, hosts, slots} of this._groups) {
+			const limited = limitEntries(name, assigned.get(name) ?? [], slots / this._options.failureDomainCount);
+			for (const host of hosts) {
+				entries.set(host, limited);
+			}
+		}
+
+		return entries;
+	}
+
+	private _groupHosts(): HostGroup[] {
 		const {configuration, targets} = this._options.view;
 		const slots = new Map<string, number>();
 		for (const target of targets) {
@@ -94,6 +101,6 @@
 			}
 		}
 
-		return [...services].map(([name, names]) => ({name, slots: sumSlots(names, slots)}));
+		return groupHosts([...services].map(([host, names]) => ({host, services: [...names]})), slots);
 	}
 }
