Keep requests away from evacuated failure domains

A guard of the target pools refuses evacuated targets before a choice and before a write; waiting requests are refused at once when no target is left. The operator's state moves from SiteView to OperatorView, its reads from RegistryReader to OperatorReader, so that a change of one key reads that key only.

--- a/src/bin/gateway-daemon.ts
+++ b/src/bin/gateway-daemon.ts
@@ -79,7 +79,7 @@
 		const {settings, logger, site} = _options;
 		this._notableLogger = new RateLimitedLogger({logger, clock: systemClock, linesPerSecond: notableLinesPerSecond});
 		this._metrics.recordGauge('process.start_time_seconds', Math.floor(performance.timeOrigin / msPerSecond));
-		this._view = this._store.add(new SiteView({clock: systemClock, logger}));
+		this._view = this._store.add(new SiteView({clock: systemClock, logger, evacuationMs: settings.limits.evacuationMs}));
 		this._members = this._store.add(new MemberController({
 			self: {
 				id: settings.instance.id,
@@ -202,10 +202,7 @@
 		void this._registryReader.start();
 		this._members.start();
 		this._reporter.start();
-		this._store.add(this._view.onConfiguration(() => {
-			this._updateServing();
-		}));
-		this._store.add(this._view.onTargets(() => {
+		this._store.add(this._view.onComplete(() => {
 			this._updateServing();
 		}));
 
--- a/src/common/gateway/gateway-settings.ts
+++ b/src/common/gateway/gateway-settings.ts
@@ -31,6 +31,8 @@
 		readonly targetChangeMs: number;
 		/** Time within which a change of the configuration must take effect, in ms. */
 		readonly configurationChangeMs: number;
+		/** Time within which an evacuation of a failure domain must take effect, in ms; evacuations are followed only where it is set. */
+		readonly evacuationMs?: number | undefined;
 		/** Time from the shutdown signal to the exit of the process, in ms. */
 		readonly stopMs: number;
 		/** Retries allowed per first attempt, as a ratio, for the whole fleet. */
--- /dev/null
+++ b/src/common/gateway/operator-changes.ts
@@ -0,0 +1,11 @@
+import type {EvacuationOrder} from './evacuation-order.js';
+
+/** Result of a wait for changes by operators. */
+export type OperatorChanges = {
+	/** Whether the configuration has to be read. */
+	readonly hasConfiguration: boolean;
+	/** Whether the evacuations have to be read. */
+	readonly hasEvacuations: boolean;
+	/** Era and revision of the registry up to which the changes are complete. */
+	readonly upTo: EvacuationOrder;
+};
--- a/src/common/gateway/site-registry.ts
+++ b/src/common/gateway/site-registry.ts
@@ -1,5 +1,8 @@
 import type {Result} from 'neverthrow';
+import type {EvacuationOrder} from './evacuation-order.js';
+import type {EvacuationSet} from './evacuation-set.js';
 import type {GatewayConfiguration} from './gateway-configuration.js';
+import type {OperatorChanges} from './operator-changes.js';
 import type {RegistryError} from './registry-error.js';
 import type {RevisedTargetChanges} from './revised-target-changes.js';
 import type {TargetList} from './target-list.js';
@@ -8,8 +11,13 @@
 export type SiteRegistry = {
 	/** Reads the newest configuration; undefined when none exists yet. */
 	readConfiguration(): Promise<Result<GatewayConfiguration | undefined, RegistryError>>;
-	/** Resolves with true once the configuration has changed since the last read or wait, or with false when the wait times out. */
-	waitForChange(): Promise<Result<boolean, RegistryError>>;
+	/**
+	Reads which failure domains are evacuated.
+	@param held - Era and revision of the set that this instance holds, which the read can only follow.
+	*/
+	readEvacuations(held: EvacuationOrder): Promise<Result<EvacuationSet, RegistryError>>;
+	/** Resolves once the configuration or the evacuations have changed since they were last read or awaited, or without changes when the wait times out. */
+	waitForChange(): Promise<Result<OperatorChanges, RegistryError>>;
 	/** Resolves with the changes of the targets since the last read or wait, without any when the wait times out. */
 	waitForTargetChanges(): Promise<Result<RevisedTargetChanges, RegistryError>>;
 	/** Reads the current list of targets. */
--- a/src/common/gateway/sync-message.ts
+++ b/src/common/gateway/sync-message.ts
@@ -1,3 +1,4 @@
+import type {EvacuationSet} from './evacuation-set.js';
 import type {GatewayMember} from './gateway-member.js';
 import type {TargetChanges} from './target-changes.js';
 import type {TargetIncarnation} from './target-incarnation.js';
@@ -19,4 +20,5 @@
 	readonly targets?: TargetChanges;
 	/** Listed targets that have announced in a response that they are leaving. */
 	readonly leaving?: readonly TargetIncarnation[];
+	readonly evacuations?: EvacuationSet;
 };
--- a/src/common/gateway/view-version.ts
+++ b/src/common/gateway/view-version.ts
@@ -1,3 +1,5 @@
+import type {EvacuationVersion} from './evacuation-version.js';
+
 /** Versions and ages of the configuration and the list of targets that an instance holds. */
 export type ViewVersion = {
 	/** Version of the configuration; 0 while there is none. */
@@ -13,4 +15,6 @@
 	readonly targetsGeneration?: number;
 	/** Time since the list was last confirmed in the registry, in ms. */
 	readonly targetsAgeMs: number;
+	/** Version of the set of evacuations. Absent where the settings name none, and in messages of versions that know none. */
+	readonly evacuations?: EvacuationVersion;
 };
--- a/src/controllers/gateway/background-work.test.ts
+++ b/src/controllers/gateway/background-work.test.ts
@@ -151,9 +151,10 @@
 		let revision = 1;
 		const source: SiteRegistry = {
 			readConfiguration: async () => ok({...configuration, version: revision}),
+			readEvacuations: async () => Promise.race([]),
 			waitForChange: async () => new Promise(resolve => {
 				setTimeout(() => {
-					resolve(ok(true));
+					resolve(ok({hasConfiguration: true, hasEvacuations: false, upTo: {era: 0, revision: 1}}));
 				}, 500);
 			}),
 			readTargets: async () => ok({revision, targets: [gatewayTarget]}),
--- a/src/controllers/gateway/create-sync-message.ts
+++ b/src/controllers/gateway/create-sync-message.ts
@@ -25,6 +25,7 @@
 	const members = isPeerKnown ? table.listChanges(link.acknowledgedNumber, peerId ?? '') : (current === undefined ? [] : [current]);
 	const leaving = view.leavingTargets;
 	const sendsTargets = isPeerKnown && view.hasNewerTargets(link.view);
+	const evacuations = isPeerKnown ? view.operator.createEvacuationsFor(link.view) : undefined;
 	return {
 		from: self.id,
 		incarnation: current?.incarnation ?? self.incarnation,
@@ -34,6 +35,7 @@
 		members,
 		view: isPeerKnown ? view.createVersionFor({...link.view, targetsAgeMs: peerAgeMs}) : view.version,
 		...(leaving.length > 0 && {leaving}),
+		...(evacuations !== undefined && {evacuations}),
 		...(sendsTargets && {targets: view.collectTargetChanges(link.view)}),
 	};
 };
--- a/src/controllers/gateway/member-controller.ts
+++ b/src/controllers/gateway/member-controller.ts
@@ -268,7 +268,7 @@
 		const {configuration, targetsGeneration, targetsAgeMs} = view.version;
 		const peerAgeMs = this._computePeerAgeMs(link);
 		return (configuration > link.view.configuration && configuration > link.announcedConfiguration)
-			|| view.hasNewerTargets(link.view)
+			|| view.hasNewerState(link.view)
 			|| (peerAgeMs > targetsAgeMs + minAgeGainMs && (link.view.targetsGeneration ?? 0) === targetsGeneration)
 			|| this._table.listChanges(link.acknowledgedNumber, id).length > 0;
 	}
@@ -355,7 +355,7 @@
 		}
 
 		checkDigest(link, message, this._table);
-		view.offerPeerView(message.view, message.targets);
+		view.offerPeerView(message);
 		view.noteLeaving(message.leaving ?? [], message.from);
 		this._fetcher.fetchNewer();
 		if (hasChanged) {
--- a/src/controllers/gateway/placement-controller.ts
+++ b/src/controllers/gateway/placement-controller.ts
@@ -9,6 +9,7 @@
 import type {Logger} from '../../common/logger.js';
 import type {Metrics} from '../../common/metrics.js';
 import {RequestError} from '../../common/request-error.js';
+import {createEvacuationGuard} from '../../policy/gateway/create-evacuation-guard.js';
 import type {FleetShare} from '../../policy/gateway/fleet-share.js';
 import {minRetryAfterMs} from '../../policy/gateway/min-retry-after-ms.js';
 import {RetryBudget} from '../../policy/gateway/retry-budget.js';
@@ -55,6 +56,11 @@
 		_options.view.onTargets(() => {
 			this._updateServices();
 		});
+		_options.view.operator.onEvacuations(() => {
+			for (const {placer} of this._services.values()) {
+				placer.placeWaiting();
+			}
+		});
 	}
 
 	/** Waits for a slot at a target of the service. An error means that the request has not run. */
@@ -153,6 +159,7 @@
 			maxResponseBytes: limits.memoryBytes / responseMemoryDivisor,
 			getMaxConnections: ({connectionsPerTarget}) => Math.max(1, Math.floor(share.divide(connectionsPerTarget))),
 			getProbeRate: () => share.divide(limits.probesPerTargetPerSecond),
+			guards: [createEvacuationGuard(failureDomain => view.operator.isEvacuated(failureDomain))],
 			onRelease() {
 				placer.placeWaiting();
 			},
--- a/src/controllers/gateway/registry-reader-rules.test.ts
+++ b/src/controllers/gateway/registry-reader-rules.test.ts
@@ -8,6 +8,7 @@
 
 const source: SiteRegistry = {
 	readConfiguration: async () => Promise.race([]),
+	readEvacuations: async () => Promise.race([]),
 	waitForChange: async () => Promise.race([]),
 	waitForTargetChanges: async () => Promise.race([]),
 	readTargets: async () => Promise.race([]),
@@ -96,12 +97,16 @@
 
 		if (lagMs !== undefined) {
 			view.offerPeerView({
-				configuration: 2, configurationAgeMs: 0, targets: 1, targetsAgeMs: 0,
-			}, undefined);
+				view: {
+					configuration: 2, configurationAgeMs: 0, targets: 1, targetsAgeMs: 0,
+				},
+			});
 			time.now += lagMs;
 			view.offerPeerView({
-				configuration: 3, configurationAgeMs: 0, targets: 1, targetsAgeMs: 0,
-			}, undefined);
+				view: {
+					configuration: 3, configurationAgeMs: 0, targets: 1, targetsAgeMs: 0,
+				},
+			});
 		}
 
 		expect(reader.checkReading()).toBe(expected);
--- a/src/controllers/gateway/registry-reader.test.ts
+++ b/src/controllers/gateway/registry-reader.test.ts
@@ -20,6 +20,7 @@
 		let callCount = 0;
 		const source: SiteRegistry = {
 			readConfiguration: async () => Promise.race([]),
+			readEvacuations: async () => Promise.race([]),
 			waitForChange: async () => Promise.race([]),
 			readTargets: async () => ok({revision: 1, targets: [gatewayTarget]}),
 			async waitForTargetChanges() {
@@ -59,9 +60,10 @@
 			readConfiguration: async () => ok({
 				version, routes: [], services: [], limits,
 			} satisfies GatewayConfiguration),
+			readEvacuations: async () => Promise.race([]),
 			waitForChange: async () => new Promise(resolve => {
 				notifyChange = () => {
-					resolve(ok(true));
+					resolve(ok({hasConfiguration: true, hasEvacuations: false, upTo: {era: 0, revision: 1}}));
 				};
 			}),
 			waitForTargetChanges: async () => Promise.race([]),
--- a/src/controllers/gateway/registry-reader.ts
+++ b/src/controllers/gateway/registry-reader.ts
@@ -8,6 +8,7 @@
 import type {Logger} from '../../common/logger.js';
 import type {Metrics} from '../../common/metrics.js';
 import {runTask} from '../../io/run-task.js';
+import {OperatorReader} from './operator-reader.js';
 import {RevisionChecker} from './revision-checker.js';
 import type {SiteView} from './site-view.js';
 
@@ -22,7 +23,7 @@
 	readonly isStandbyReader: () => boolean;
 	/** Whether this instance has joined the fleet: false while it has other seeds but knows no other instance. */
 	readonly isJoined: () => boolean;
-	/** Called after each read of the targets and each failed read of the configuration, with whether this instance can read the registry. */
+	/** Called after each read of the targets and each failed read of the configuration or the evacuations, with whether this instance can read the registry. */
 	readonly onRead: (canRead: boolean) => void;
 	readonly clock: Clock;
 	readonly random: () => number;
@@ -41,8 +42,8 @@
 /** Largest random addition to that fraction, so that a few instances read first and inform the rest. */
 const otherAgeJitter = 0.15;
 /**
-Fraction of the time within which a change has to be active after which a configuration is read that has not been confirmed, as the reader does
-once a second. It may exceed 1: peers announce a change at once, so an old confirmation seldom means a missed one.
+Fraction of the time within which a change has to be active after which configuration and evacuations are read that have not been confirmed, as the
+reader does once a second. It may exceed 1: peers announce a change at once, so an old confirmation seldom means a missed one.
 */
 const configurationAgeShare = 1.25;
 /** Time after which an announced configuration that has not arrived is read, as a fraction of the time within which it has to be active. */
@@ -57,11 +58,7 @@
 const peerSyncJitterMs = 400;
 /** Interval at which an instance that does not read checks whether it has to, in ms. */
 const pollIntervalMs = 100;
-/** Pause after a read of the configuration that failed or found none, in ms. */
-const readRetryPauseMs = 400;
-/** Pause after a change has been read before the next one is awaited, in ms, so that several changes in quick succession need fewer reads. */
-const changePauseMs = 100;
-/** The same for changes of targets, in ms; replacing the targets of a service takes many changes, and each call has a cost. */
+/** Pause after changes of targets before the next ones are awaited, in ms, so that several in quick succession need fewer calls; replacing the targets of a service takes many changes, and each call has a cost. */
 const targetChangePauseMs = 500;
 /** Pause between reads of the list whose revisions are lower than one seen before, in ms. */
 const regressionPauseMs = 250;
@@ -75,7 +72,7 @@
 /** Largest number of such doublings. */
 const maxBackoffDoublings = 2;
 
-/** Reads configuration and targets from the site's registry: always on the reader, on other instances only while their own view is too old. */
+/** Reads configuration, evacuations and targets from the site's registry: always on the reader, on other instances only while their own view is too old. */
 export class RegistryReader implements DisposableLike {
 	private readonly _abortController = new AbortController();
 	/** Time from which this instance reads what its peers have not sent since the start, in ms. */
@@ -83,9 +80,8 @@
 	/** Age of the list of targets above which this instance reads it, unless it is a standby reader, in ms. */
 	private readonly _ageLimitMs: number;
 	private readonly _revisions: RevisionChecker;
+	private readonly _operatorReader: OperatorReader;
 	private _failures = 0;
-	private _canReadConfiguration = true;
-	private _readVersion = 0;
 	/** Time until which this instance reads for itself since its view was too old, in ms. */
 	private _fallbackUntil = Number.NEGATIVE_INFINITY;
 
@@ -93,6 +89,13 @@
 		const {clock, random, targetChangeMs} = _options;
 		this._readsWithoutPeersAt = clock.now() + peerSyncMs + (peerSyncJitterMs * random());
 		this._revisions = new RevisionChecker(_options);
+		this._operatorReader = new OperatorReader({
+			..._options,
+			signal: this._abortController.signal,
+			hasFailures: () => this._failures > 0,
+			checkReading: () => this.checkReading(),
+			pause: async ms => this._pause(ms),
+		});
 		this._ageLimitMs = targetChangeMs * (otherAgeShare + (otherAgeJitter * random()));
 	}
 
@@ -104,7 +107,7 @@
 
 		await Promise.all([
 			this._runLoop('registry-targets', async () => this._runTargetLoop()),
-			this._runLoop('registry-configuration', async () => this._runConfigurationLoop()),
+			this._runLoop('registry-configuration', async () => this._operatorReader.run()),
 		]);
 	}
 
@@ -123,11 +126,13 @@
 		const isAwaitingSync = !waitsForPeers && now < this._readsWithoutPeersAt;
 		if (!view.isComplete) {
 			// An instance that has not joined may consider itself the reader by mistake, so it first lets peers send their view.
-			return isReader() ? isJoined() || !isAwaitingSync : !waitsForPeers && !isAwaitingSync;
+			// Peers of versions without evacuations send none, so an instance that lacks only these reads them also at the first start.
+			return isReader() ? isJoined() || !isAwaitingSync : !isAwaitingSync && (!waitsForPeers || view.operator.lacksOnlyEvacuations);
 		}
 
 		const ageLimitMs = isStandbyReader() ? targetChangeMs * standbyAgeShare : this._ageLimitMs;
-		const isConfigurationOld = view.configurationAgeMs > configurationChangeMs * configurationAgeShare || view.configurationLagMs > configurationChangeMs * configurationLagShare;
+		const operatorAgeMs = Math.max(view.configurationAgeMs, view.operator.evacuationsAgeMs);
+		const isConfigurationOld = operatorAgeMs > configurationChangeMs * configurationAgeShare || view.configurationLagMs > configurationChangeMs * configurationLagShare;
 		if (view.targetsAgeMs > ageLimitMs || isConfigurationOld) {
 			this._fallbackUntil = now + fallbackReadMs;
 		}
@@ -198,70 +203,7 @@
 			this._recordFailure(subject, read.error);
 		}
 
-		this._options.onRead(read.isOk() && this._canReadConfiguration);
-	}
-
-	private async _runConfigurationLoop(): Promise<void> {
-		while (!this._abortController.signal.aborted) {
-			// While reads of the targets fail, reads of the configuration would fail as well.
-			if (this._failures > 0 || !this.checkReading()) {
-				await this._pause(pollIntervalMs);
-				continue;
-			}
-
-			const isRead = await this._readConfiguration();
-			await (isRead ? this._watchConfiguration() : this._pause(readRetryPauseMs));
-		}
-	}
-
-	/** Reads the configuration after each change until this instance no longer has to read. A change that was noticed is always read. */
-	private async _watchConfiguration(): Promise<void> {
-		const {source, view} = this._options;
-		let isRead = true;
-		while (isRead && this.checkReading() && !this._abortController.signal.aborted) {
-			const waited = await source.waitForChange();
-			this._countRead('changes', waited);
-			if (waited.isErr()) {
-				this._options.logger.logInfo('configuration-watch-lost', {...waited.error});
-				await this._pause(backoffMs * (1 + this._options.random()));
-			}
-
-			if (waited.isErr() || waited.value) {
-				isRead = await this._readConfiguration();
-				await this._pause(changePauseMs);
-			} else {
-				view.confirmConfiguration(this._readVersion, 0);
-			}
-		}
-	}
-
-	private async _readConfiguration(): Promise<boolean> {
-		const {source, view, clock} = this._options;
-		const startedAt = clock.now();
-		const heldVersion = view.configuration?.version ?? 0;
-		const read = await source.readConfiguration();
-		this._countRead('configuration', read);
-		this._canReadConfiguration = read.isOk();
-		if (read.isErr()) {
-			this._options.logger.logError('configuration-read-failed', {...read.error});
-			this._options.onRead(false);
-			return false;
-		}
-
-		if (read.value === undefined) {
-			return false;
-		}
-
-		if (read.value.version < heldVersion) {
-			this._options.logger.logError('configuration-older', {version: read.value.version, activeVersion: heldVersion});
-		}
-
-		// The registry holds nothing newer than what was active before the call, even if it was restored with an older version.
-		this._readVersion = Math.max(read.value.version, heldVersion);
-		const ageMs = clock.now() - startedAt;
-		view.offerConfiguration(read.value, ageMs);
-		view.confirmConfiguration(this._readVersion, ageMs);
-		return true;
+		this._options.onRead(read.isOk() && this._operatorReader.canRead);
 	}
 
 	private _countRead(subject: string, read: Result<unknown, RegistryError>): void {
--- a/src/controllers/gateway/service-placer.ts
+++ b/src/controllers/gateway/service-placer.ts
@@ -182,6 +182,11 @@
 			}
 		}
 
+		const areAllBlocked = pool.computePauseMs([]) === Number.POSITIVE_INFINITY;
+		for (const {request, settle} of this._waiters.takeMatching(({request: {excludedTargets}}) => excludedTargets.length === 0 ? areAllBlocked : pool.computePauseMs(excludedTargets) === Number.POSITIVE_INFINITY)) {
+			settle(err(new RequestError(ErrorKind.NoTarget, `all targets of service "${request.service}" accept no requests`, minRetryAfterMs)));
+		}
+
 		const earliestEnd = clock.now() + pool.serviceTimes.usualMs;
 		for (const waiter of this._waiters.takeMatching(({request, hasProbed}) => hasProbed && request.deadlineAt < earliestEnd)) {
 			waiter.settle(err(new RequestError(ErrorKind.DeadlineUnreachable, `no slot of service "${waiter.request.service}" was free in time`, minRetryAfterMs)));
--- a/src/controllers/gateway/site-view.test.ts
+++ b/src/controllers/gateway/site-view.test.ts
@@ -62,7 +62,7 @@
 			}
 
 			if (peerHas !== undefined) {
-				view.offerPeerView(createPeerView(peerHas), undefined);
+				view.offerPeerView({view: createPeerView(peerHas)});
 			}
 
 			if (registryHas !== undefined) {
@@ -119,7 +119,7 @@
 	])('takes from a peer with $name: $held', ({peer, since, held, version, ageMs}) => {
 		const view = createHeldView();
 		const changed = [{...gatewayTarget, id: 'i-peer', revision: peer.targets}];
-		view.offerPeerView({...createPeerView(0), ...peer}, {since, changed, removed: []});
+		view.offerPeerView({view: {...createPeerView(0), ...peer}, targets: {since, changed, removed: []}});
 		expect(view.targets.map(({id}) => id)).toEqual(held);
 		expect([view.version.targets, view.version.targetsGeneration]).toEqual(version);
 		expect(view.targetsAgeMs).toBe(ageMs);
@@ -192,11 +192,11 @@
 			},
 		}, 0);
 		now = 100;
-		view.offerPeerView(createPeerView(4), undefined);
+		view.offerPeerView({view: createPeerView(4)});
 		now = 105;
-		view.offerPeerView(createPeerView(3), undefined);
+		view.offerPeerView({view: createPeerView(3)});
 		now = 700;
-		view.offerPeerView(createPeerView(4), undefined);
+		view.offerPeerView({view: createPeerView(4)});
 		now = 1000;
 		expect(view.configurationLagMs).toBeGreaterThan(0);
 	});
--- a/src/controllers/gateway/site-view.ts
+++ b/src/controllers/gateway/site-view.ts
@@ -7,46 +7,55 @@
 import type {TargetList} from '../../common/gateway/target-list.js';
 import type {RevisedTargetChanges} from '../../common/gateway/revised-target-changes.js';
 import type {TargetIncarnation} from '../../common/gateway/target-incarnation.js';
+import type {SyncMessage} from '../../common/gateway/sync-message.js';
 import type {ViewVersion} from '../../common/gateway/view-version.js';
 import type {Logger} from '../../common/logger.js';
 import {LeavingTargets} from '../../policy/gateway/leaving-targets.js';
 import {TargetTable} from '../../policy/gateway/target-table.js';
+import {OperatorView} from './operator-view.js';
 
 type SiteViewOptions = {
 	readonly clock: Clock;
 	readonly logger: Logger;
+	/** Time within which an evacuation has to be active, in ms; undefined when the site has none. */
+	readonly evacuationMs?: number | undefined;
 };
 
 const getGeneration = ({targetsGeneration = 0}: ViewVersion): number => targetsGeneration;
 
-/** Time that a confirmation may take from a peer to this instance, in ms; the age that it states does not include it. */
-const confirmationDelayMs = 400;
-
 /**
-The active configuration and targets of this instance, with the time at which each was last confirmed to be the newest in the registry.
-Neither is ever replaced by an older one.
+The active configuration, evacuations and targets of this instance, with the time at which each was last confirmed to be the newest in the registry.
+None is ever replaced by an older one.
 */
 export class SiteView implements DisposableLike {
-	private readonly _onConfiguration = new Emitter<GatewayConfiguration>();
+	/** The part that operators write: the configuration and the evacuations. */
+	readonly operator: OperatorView;
+	private readonly _onComplete = new Emitter<true>();
 	private readonly _onTargets = new Emitter<readonly GatewayTarget[]>();
 	private readonly _onVersionChange = new Emitter<ViewVersion>();
 	private readonly _table = new TargetTable();
 	private readonly _leavingTargets = new LeavingTargets();
 	private _listedLeavingTargets: readonly TargetIncarnation[] = [];
 	private _targets: readonly GatewayTarget[] = [];
-	private _configuration: GatewayConfiguration | undefined;
-	private _configurationConfirmedAt = Number.NEGATIVE_INFINITY;
-	/** Time at which the registry last confirmed the active configuration to this instance itself, in ms. */
-	private _configurationReadAt = Number.NEGATIVE_INFINITY;
 	private _targetsConfirmedAt = Number.NEGATIVE_INFINITY;
-	private _announcedVersion = 0;
-	private _announcedAt = Number.NEGATIVE_INFINITY;
+	private _wasComplete = false;
 
-	constructor(private readonly _options: SiteViewOptions) {}
+	constructor(private readonly _options: SiteViewOptions) {
+		this.operator = new OperatorView(_options);
+		this.operator.onChange(() => {
+			this._fireComplete();
+			this._onVersionChange.fire(this.version);
+		});
+	}
 
 	/** Fires with each newer configuration. */
 	get onConfiguration() {
-		return this._onConfiguration.event;
+		return this.operator.onConfiguration;
+	}
+
+	/** Fires once, when the view becomes complete. */
+	get onComplete() {
+		return this._onComplete.event;
 	}
 
 	/** Fires when the list of targets changes. */
@@ -61,7 +70,7 @@
 
 	/** The active configuration; undefined before the first one. */
 	get configuration(): GatewayConfiguration | undefined {
-		return this._configuration;
+		return this.operator.configuration;
 	}
 
 	/** The active targets, including those that are leaving. */
@@ -74,9 +83,9 @@
 		return this._listedLeavingTargets;
 	}
 
-	/** Whether both a configuration and a list of targets are known, so that requests can be routed. */
+	/** Whether a configuration, a list of targets and, where the site has them, the evacuations are known, so that requests can be routed. */
 	get isComplete(): boolean {
-		return this._configuration !== undefined && this._table.completeRevision > 0;
+		return this._table.completeRevision > 0 && this.operator.isComplete;
 	}
 
 	/** Time since the list of targets was last confirmed at the registry, by this instance or a peer, in ms. */
@@ -86,19 +95,18 @@
 
 	/** Time since the configuration was last confirmed to be the newest in the registry, by this instance or a peer, in ms. */
 	get configurationAgeMs(): number {
-		return this._options.clock.now() - this._configurationConfirmedAt;
+		return this.operator.configurationAgeMs;
 	}
 
 	/** Time for which peers have announced a newer configuration than the active one, in ms; 0 when there is none, or the registry has shown since that it has none. */
 	get configurationLagMs(): number {
-		return this._lacksAnnounced ? this._options.clock.now() - this._announcedAt : 0;
+		return this.operator.configurationLagMs;
 	}
 
 	/** Versions and ages of the configuration and the targets, as sent to peers. */
 	get version(): ViewVersion {
 		return {
-			configuration: this._configuration?.version ?? 0,
-			configurationAgeMs: Math.min(Number.MAX_SAFE_INTEGER, Math.round(this.configurationAgeMs)),
+			...this.operator.version,
 			targets: this._table.completeRevision,
 			targetsGeneration: this._table.generation,
 			targetsAgeMs: Math.min(Number.MAX_SAFE_INTEGER, Math.round(this.targetsAgeMs)),
@@ -110,19 +118,7 @@
 	@param ageMs - Time since it was confirmed to be the newest, in ms.
 	*/
 	offerConfiguration(configuration: GatewayConfiguration, ageMs: number): void {
-		const isNewer = configuration.version > (this._configuration?.version ?? 0);
-		if (isNewer) {
-			this._configuration = configuration;
-			this._configurationConfirmedAt = Number.NEGATIVE_INFINITY;
-			this._announcedAt = this._options.clock.now();
-		}
-
-		this._confirmConfiguration(configuration.version, ageMs);
-		if (isNewer) {
-			this._options.logger.logInfo('configuration-in-force', {version: configuration.version, routes: configuration.routes.length, services: configuration.services.length});
-			this._onConfiguration.fire(configuration);
-			this._onVersionChange.fire(this.version);
-		}
+		this.operator.offerConfiguration(configuration, ageMs);
 	}
 
 	/**
@@ -130,10 +126,7 @@
 	@param ageMs - Time since the confirmation, in ms.
 	*/
 	confirmConfiguration(version: number, ageMs: number): void {
-		this._confirmConfiguration(version, ageMs);
-		if (version === this._configuration?.version) {
-			this._configurationReadAt = this._options.clock.now() - ageMs;
-		}
+		this.operator.confirmConfiguration(version, ageMs);
 	}
 
 	/**
@@ -182,18 +175,17 @@
 	}
 
 	/**
-	Applies a peer's view: confirmations of the values that both hold, and the announcement of a newer configuration.
-	@param changes - Changes of the list of targets that the peer sent along, if any.
+	Applies a peer's view: confirmations of the values that both hold, the announcement of a newer configuration, and the changes of targets and
+	the evacuations that the peer sent along, if any.
 	*/
-	offerPeerView(view: ViewVersion, changes: TargetChanges | undefined): void {
+	offerPeerView({view, targets: changes, evacuations}: Pick<SyncMessage, 'view' | 'targets' | 'evacuations'>): void {
 		const confirmedBefore = this._targetsConfirmedAt;
 		const hasChanged = changes !== undefined && this._applyPeerChanges(view, changes);
 		if (view.targets > 0 && view.targets === this._table.completeRevision && getGeneration(view) === this._table.generation) {
 			this._confirmTargets(view.targetsAgeMs);
 		}
 
-		this._recordAnnouncedVersion(view.configuration);
-		this._confirmConfiguration(view.configuration, view.configurationAgeMs);
+		this.operator.offerPeerView({view, evacuations});
 		this._fireTargetEvents(confirmedBefore, hasChanged);
 	}
 
@@ -229,6 +221,11 @@
 			: this._table.generation > peerView.targetsGeneration;
 	}
 
+	/** Whether a peer lacks targets or evacuations that this instance has. */
+	hasNewerState(peerView: ViewVersion): boolean {
+		return this.hasNewerTargets(peerView) || this.operator.hasNewerEvacuations(peerView);
+	}
+
 	/** Collects the changes of targets that a peer lacks. */
 	collectTargetChanges(peerView: ViewVersion): TargetChanges {
 		const revision = getGeneration(peerView) === this._table.generation ? peerView.targets : 0;
@@ -236,23 +233,12 @@
 	}
 
 	dispose(): void {
-		this._onConfiguration.dispose();
+		this.operator.dispose();
+		this._onComplete.dispose();
 		this._onTargets.dispose();
 		this._onVersionChange.dispose();
 	}
 
-	/** Whether an announced configuration is missing. One is not if the registry confirmed the active one after it was announced, to this instance or well after it to a peer. */
-	private get _lacksAnnounced(): boolean {
-		return this._announcedVersion > (this._configuration?.version ?? 0)
-			&& this._configurationReadAt <= this._announcedAt && this._configurationConfirmedAt <= this._announcedAt + confirmationDelayMs;
-	}
-
-	private _confirmConfiguration(version: number, ageMs: number): void {
-		if (version === this._configuration?.version) {
-			this._configurationConfirmedAt = Math.max(this._configurationConfirmedAt, this._options.clock.now() - ageMs);
-		}
-	}
-
 	private _applyPeerChanges(view: ViewVersion, changes: TargetChanges): boolean {
 		const now = this._options.clock.now();
 		const generation = getGeneration(view);
@@ -263,21 +249,6 @@
 		return generation === this._table.generation && this._table.applyChanges(changes, view.targets, now) === true;
 	}
 
-	private _recordAnnouncedVersion(version: number): void {
-		const currentVersion = this._configuration?.version ?? 0;
-		if (version <= currentVersion) {
-			return;
-		}
-
-		if (this._lacksAnnounced) {
-			// The lag counts from the first version that is missing; later announcements must not reset it, since each of them may be missed as well.
-			this._announcedVersion = Math.max(this._announcedVersion, version);
-		} else if (version !== this._announcedVersion) {
-			this._announcedAt = this._options.clock.now();
-			this._announcedVersion = version;
-		}
-	}
-
 	private _confirmTargets(ageMs: number): void {
 		this._targetsConfirmedAt = Math.max(this._targetsConfirmedAt, this._options.clock.now() - ageMs);
 	}
@@ -306,8 +277,16 @@
 			this._fireTargets();
 		}
 
+		this._fireComplete();
 		if (this._targetsConfirmedAt > confirmedBefore) {
 			this._onVersionChange.fire(this.version);
 		}
 	}
+
+	private _fireComplete(): void {
+		if (!this._wasComplete && this.isComplete) {
+			this._wasComplete = true;
+			this._onComplete.fire(true);
+		}
+	}
 }
--- a/src/controllers/gateway/state-reporter.ts
+++ b/src/controllers/gateway/state-reporter.ts
@@ -49,6 +49,7 @@
 		this._maxDelayMs = Math.max(this._maxDelayMs, now - this._checkedAt - checkIntervalMs);
 		this._checkedAt = now;
 		this._checkCount++;
+		this._options.view.operator.refreshEvacuations();
 		if (this._checkCount % checksPerReport === 0) {
 			this._report();
 		}
@@ -58,11 +59,13 @@
 		const {view, logger, metrics, countInstances, countPeerBytes} = this._options;
 		const bytes = countPeerBytes();
 		const peerBytesPerSecond = Math.round((bytes - this._reportedBytes) * 1000 / (checkIntervalMs * checksPerReport));
+		const {evacuatedDomains} = view.operator;
 		const loopDelayMs = Math.max(0, Math.round(this._maxDelayMs));
 		metrics.recordGauge('peer.bytes_per_second', peerBytesPerSecond);
 		metrics.recordGauge('process.loop_delay', loopDelayMs);
+		metrics.recordGauge('evacuation.domains', evacuatedDomains.length);
 		logger.logInfo('gateway-state', {
-			...view.version, instances: countInstances(), peerBytesPerSecond, loopDelayMs,
+			...view.version, evacuatedDomains, instances: countInstances(), peerBytesPerSecond, loopDelayMs,
 		});
 		this._reportedBytes = bytes;
 		this._maxDelayMs = 0;
--- a/src/io/gateway/decode-envelope.ts
+++ b/src/io/gateway/decode-envelope.ts
@@ -8,6 +8,7 @@
 import type {TargetChanges} from '../../common/gateway/target-changes.js';
 import type {TargetIncarnation} from '../../common/gateway/target-incarnation.js';
 import type {ViewVersion} from '../../common/gateway/view-version.js';
+import {decodeEvacuations} from './decode-evacuations.js';
 import {decodeMember} from './decode-member.js';
 import type {EncodedMember} from './encoded-member.js';
 
@@ -91,6 +92,11 @@
 		refused.push('the list of targets');
 	}
 
+	const evacuations = decodeEvacuations(view, value.evacuations);
+	if (!evacuations.isValid) {
+		refused.push('the evacuations');
+	}
+
 	const leavingTargets = Array.isArray(leaving) ? leaving.filter(target => isIncarnation(target)) : [];
 	return ok({
 		message: {
@@ -100,7 +106,8 @@
 			takenNumber,
 			digest,
 			members: members.map(member => decodeMember(member)),
-			view,
+			view: evacuations.view,
+			...(evacuations.set !== undefined && {evacuations: evacuations.set}),
 			...(targetChanges !== undefined && {targets: targetChanges}),
 			...(leavingTargets.length > 0 && {leaving: leavingTargets}),
 		},
--- a/src/io/gateway/send-json.ts
+++ b/src/io/gateway/send-json.ts
@@ -15,6 +15,8 @@
 type JsonResponse = {
 	readonly ok: boolean;
 	readonly status: number;
+	/** Gets the value of a header; undefined when it is absent. */
+	getHeader(name: string): string | undefined;
 	/** Parses the body; rejects when it is not JSON, or has too many values to be held. */
 	json(): Promise<unknown>;
 };
@@ -48,7 +50,12 @@
 		response.on('end', () => {
 			clearTimeout(timer);
 			const status = response.statusCode ?? 0;
-			resolve({ok: status >= 200 && status < 300, status, json: async () => parseBoundedJson(Buffer.from(collector.mergeBlocks().buffer, 0, collector.length).toString('utf8'))});
+			resolve({
+				ok: status >= 200 && status < 300,
+				status,
+				getHeader: name => response.headers[name.toLowerCase()]?.toString(),
+				json: async () => parseBoundedJson(Buffer.from(collector.mergeBlocks().buffer, 0, collector.length).toString('utf8')),
+			});
 		});
 	});
 	const timer = setTimeout(() => {
