Accept older evacuations that a registry without eras keeps answering

A registry restored from a copy that sends no Store-Era, or one answer with a revision far ahead, left a set that no later read could replace: every instance read the evacuations without end. After three older answers over half a second, as for the targets, the set is accepted under a higher generation, which orders sets before the era. A watch from the lower of two positions missed a change of the configuration whose position was too high; each position is now compared by itself.

--- a/src/common/gateway/evacuation-order.ts
+++ b/src/common/gateway/evacuation-order.ts
@@ -1,7 +1,7 @@
-/** What orders sets of evacuations: the one with the higher era is newer, within an era the one with the higher revision. */
-export type EvacuationOrder = {
-	/** Number of times that the registry was restored before the set was read; 0 when the registry does not tell. */
-	readonly era: number;
-	/** Registry revision at which the set was read; 0 while none is known. */
-	readonly revision: number;
+import type {StorePosition} from './store-position.js';
+
+/** What orders sets of evacuations: the generation, then the era, then the revision. */
+export type EvacuationOrder = StorePosition & {
+	/** Number of times that a set was accepted although the registry's answers were older than the one held: that one was wrong, or the registry tells no era. */
+	readonly generation: number;
 };
--- a/src/common/gateway/operator-changes.ts
+++ b/src/common/gateway/operator-changes.ts
@@ -1,4 +1,4 @@
-import type {EvacuationOrder} from './evacuation-order.js';
+import type {StorePosition} from './store-position.js';
 
 /** Result of a wait for changes by operators. */
 export type OperatorChanges = {
@@ -6,6 +6,6 @@
 	readonly hasConfiguration: boolean;
 	/** Whether the evacuations have to be read. */
 	readonly hasEvacuations: boolean;
-	/** Era and revision of the registry up to which the changes are complete. */
-	readonly upTo: EvacuationOrder;
+	/** State of the registry up to which the changes are complete. */
+	readonly upTo: StorePosition;
 };
--- a/src/common/gateway/site-registry.ts
+++ b/src/common/gateway/site-registry.ts
@@ -1,6 +1,6 @@
 import type {Result} from 'neverthrow';
-import type {EvacuationOrder} from './evacuation-order.js';
-import type {EvacuationSet} from './evacuation-set.js';
+import type {StorePosition} from './store-position.js';
+import type {EvacuationList} from './evacuation-list.js';
 import type {GatewayConfiguration} from './gateway-configuration.js';
 import type {OperatorChanges} from './operator-changes.js';
 import type {RegistryError} from './registry-error.js';
@@ -13,9 +13,9 @@
 	readConfiguration(): Promise<Result<GatewayConfiguration | undefined, RegistryError>>;
 	/**
 	Reads which failure domains are evacuated.
-	@param held - Era and revision of the set that this instance holds, which the read can only follow.
+	@param held - State of the registry in which the held set was read; a read can only see a later one.
 	*/
-	readEvacuations(held: EvacuationOrder): Promise<Result<EvacuationSet, RegistryError>>;
+	readEvacuations(held: StorePosition): Promise<Result<EvacuationList, RegistryError>>;
 	/** Resolves once the configuration or the evacuations have changed since they were last read or awaited, or without changes when the wait times out. */
 	waitForChange(): Promise<Result<OperatorChanges, RegistryError>>;
 	/** Resolves with the changes of the targets since the last read or wait, without any when the wait times out. */
--- a/src/controllers/gateway/operator-reader.ts
+++ b/src/controllers/gateway/operator-reader.ts
@@ -3,9 +3,11 @@
 import type {SiteRegistry} from '../../common/gateway/site-registry.js';
 import {RegistryFailure} from '../../common/gateway/registry-failure.js';
 import type {RegistryError} from '../../common/gateway/registry-error.js';
+import type {StorePosition} from '../../common/gateway/store-position.js';
 import type {Logger} from '../../common/logger.js';
 import type {Metrics} from '../../common/metrics.js';
 import {isNewerEvacuation} from '../../policy/gateway/is-newer-evacuation.js';
+import {RevisionRegression} from '../../policy/gateway/revision-regression.js';
 import type {SiteView} from './site-view.js';
 
 type OperatorReaderOptions = {
@@ -37,11 +39,13 @@
 
 /** Reads what operators write: the configuration and, where the site has them, the evacuations. Each is read again only when it has changed or may have. */
 export class OperatorReader {
+	private readonly _regression = new RevisionRegression();
 	private _canReadConfiguration = true;
 	private _canReadEvacuations = true;
 	private _isConfigurationDue = true;
 	private _areEvacuationsDue = true;
 	private _readVersion = 0;
+	private _evacuationsReadAt: StorePosition = {era: 0, revision: 0};
 
 	constructor(private readonly _options: OperatorReaderOptions) {}
 
@@ -89,9 +93,8 @@
 					view.confirmConfiguration(this._readVersion, 0);
 				}
 
-				if (!this._areEvacuationsDue) {
-					view.operator.confirmEvacuations(waited.value.upTo);
-				}
+				// Peers may have sent a set of another generation meanwhile, which the registry does not confirm.
+				this._areEvacuationsDue ||= view.operator.tracksEvacuations && !view.operator.confirmEvacuations(this._evacuationsReadAt, waited.value.upTo);
 			}
 
 			if (this._isConfigurationDue || this._areEvacuationsDue) {
@@ -168,15 +171,21 @@
 		}
 
 		const {era, revision} = read.value;
-		if (isNewerEvacuation(held, read.value)) {
+		const set = {...read.value, generation: held.generation};
+		const isOlder = isNewerEvacuation(held, set);
+		const isAccepted = this._regression.noteAnswer(isOlder, clock.now());
+		if (isOlder) {
 			logger.logError('evacuations-older', {
-				era, revision, heldEra: held.era, heldRevision: held.revision,
+				era, revision, heldEra: held.era, heldRevision: held.revision, isAccepted,
 			});
-			return false;
 		}
 
-		view.operator.offerEvacuations(read.value, clock.now() - startedAt);
-		return true;
+		if (!isOlder || isAccepted) {
+			this._evacuationsReadAt = {era, revision};
+			view.operator.offerEvacuations(isAccepted ? {...set, generation: held.generation + 1} : set, clock.now() - startedAt);
+		}
+
+		return !isOlder || isAccepted;
 	}
 
 	private _countRead(subject: string, read: Result<unknown, RegistryError>): void {
--- a/src/controllers/gateway/operator-view.ts
+++ b/src/controllers/gateway/operator-view.ts
@@ -4,6 +4,7 @@
 import type {EvacuationOrder} from '../../common/gateway/evacuation-order.js';
 import type {EvacuationSet} from '../../common/gateway/evacuation-set.js';
 import type {GatewayConfiguration} from '../../common/gateway/gateway-configuration.js';
+import type {StorePosition} from '../../common/gateway/store-position.js';
 import type {SyncMessage} from '../../common/gateway/sync-message.js';
 import type {ViewVersion} from '../../common/gateway/view-version.js';
 import type {Logger} from '../../common/logger.js';
@@ -76,9 +77,9 @@
 		return this._evacuations !== undefined;
 	}
 
-	/** Era and revision of the held set of evacuations. */
+	/** What orders the held set of evacuations. */
 	get evacuationOrder(): EvacuationOrder {
-		return this._evacuations?.order ?? {era: 0, revision: 0};
+		return this._evacuations?.order ?? {generation: 0, era: 0, revision: 0};
 	}
 
 	/** Time since the configuration was last confirmed to be the newest in the registry, by this instance or a peer, in ms. */
@@ -164,12 +165,18 @@
 		}
 	}
 
-	/** Records that the registry has shown no change of the evacuations up to a revision. Revisions of another era cannot be compared. */
-	confirmEvacuations({era, revision}: EvacuationOrder): void {
-		const held = this._evacuations?.order;
-		if (held?.era === era && held.revision <= revision) {
+	/**
+	Records that the registry has shown this instance no change of the evacuations between two of its states; returns false when the held set was not read
+	between them, so that it has to be read again.
+	*/
+	confirmEvacuations(since: StorePosition, upTo: StorePosition): boolean {
+		const held = this.evacuationOrder;
+		const isBetween = held.era === since.era && held.era === upTo.era && held.revision >= since.revision && held.revision <= upTo.revision;
+		if (isBetween) {
 			this._confirmEvacuations(held, 0);
 		}
+
+		return isBetween;
 	}
 
 	/** Announces the evacuated domains when they have changed: by a newer set, or since one is no longer retained after a restoration of the registry. */
@@ -223,9 +230,9 @@
 		}
 	}
 
-	private _confirmEvacuations({era, revision}: EvacuationOrder, ageMs: number): void {
-		const held = this._evacuations?.order;
-		if (held?.era === era && held.revision === revision && revision > 0) {
+	private _confirmEvacuations({generation, era, revision}: EvacuationOrder, ageMs: number): void {
+		const held = this.evacuationOrder;
+		if (held.generation === generation && held.era === era && held.revision === revision && revision > 0) {
 			this._evacuationsConfirmedAt = Math.max(this._evacuationsConfirmedAt, this._options.clock.now() - ageMs);
 		}
 	}
--- a/src/io/gateway/decode-evacuations.ts
+++ b/src/io/gateway/decode-evacuations.ts
@@ -12,9 +12,11 @@
 const count = z.int().check(z.nonnegative());
 const time = z.number().check(z.nonnegative(), z.maximum(Number.MAX_SAFE_INTEGER));
 const domain = z.string().check(z.minLength(1));
-const versionSchema = z.object({era: count, revision: count, ageMs: time});
+const versionSchema = z.object({
+	generation: count, era: count, revision: count, ageMs: time,
+});
 const setSchema = z.object({
-	era: count, revision: count.check(z.positive()), domains: z.array(domain), retained: z.optional(z.array(z.object({domain, leftMs: time}))),
+	generation: count, era: count, revision: count.check(z.positive()), domains: z.array(domain), retained: z.optional(z.array(z.object({domain, leftMs: time}))),
 });
 
 /** Decodes the evacuations in a message of a peer. When a part is invalid, all of them are left out, since a set counts as complete. */
--- a/src/policy/gateway/evacuations.ts
+++ b/src/policy/gateway/evacuations.ts
@@ -4,16 +4,19 @@
 
 /** The evacuated failure domains that this instance knows of. A newer set replaces the held one, an older one never does. */
 export class Evacuations {
-	private _set: EvacuationSet = {era: 0, revision: 0, domains: []};
-	/** Time until which a domain that the restored registry has lost stays evacuated, in ms; one that has ended is kept until the next era. */
+	private _set: EvacuationSet = {
+		generation: 0, era: 0, revision: 0, domains: [],
+	};
+	/** Time until which a domain that the restored registry has lost stays evacuated, in ms; one that has ended is kept until the registry is restored again. */
 	private _retainedUntil = new Map<string, number>();
 
 	/** @param _retentionMs - Time for which a domain stays evacuated that a restored registry has lost, in ms. */
 	constructor(private readonly _retentionMs: number) {}
 
-	/** Era and revision of the held set. */
+	/** What orders the held set. */
 	get order(): EvacuationOrder {
-		return {era: this._set.era, revision: this._set.revision};
+		const {generation, era, revision} = this._set;
+		return {generation, era, revision};
 	}
 
 	/** Whether a set is known, even an empty one. */
@@ -24,20 +27,22 @@
 	/** Applies a set; returns whether it is newer than the held one. */
 	offer(set: EvacuationSet, now: number): boolean {
 		const isNewer = isNewerEvacuation(set, this._set);
-		const hasNewEra = this.isKnown && set.era > this._set.era;
-		if (hasNewEra) {
+		const isOfSameStore = set.generation === this._set.generation && set.era === this._set.era;
+		if (isNewer && this.isKnown && !isOfSameStore) {
 			// The copy from which the registry was restored may lack evacuations that operators write again.
 			this._retainedUntil = new Map(this.listInForce(now).map(domain => [domain, now + this._retentionMs]));
 		}
 
-		if (set.era === this._set.era || isNewer) {
+		if (isOfSameStore || isNewer) {
 			this._addRetained(set, now);
 		}
 
 		if (isNewer) {
-			this._set = {era: set.era, revision: set.revision, domains: [...set.domains].sort()};
+			this._set = {
+				generation: set.generation, era: set.era, revision: set.revision, domains: [...set.domains].sort(),
+			};
 			for (const domain of set.domains) {
-				// Once the domain is written in this era, its deletion takes effect like any other.
+				// Once the domain is written after the restoration, its deletion takes effect like any other.
 				this._retainedUntil.set(domain, Number.NEGATIVE_INFINITY);
 			}
 		}
@@ -66,7 +71,7 @@
 		return retained.length > 0 ? {...this._set, retained} : this._set;
 	}
 
-	/** A domain is taken from peers once in an era, so that messages back and forth don't prolong its time. */
+	/** A domain is taken from peers once for each restoration, so that messages back and forth don't prolong its time. */
 	private _addRetained({retained = []}: EvacuationSet, now: number): void {
 		for (const {domain, leftMs} of retained) {
 			if (!this._retainedUntil.has(domain)) {
