Send nothing before the evacuations are known, and test evacuations end to end

An instance that had configuration and targets but not yet the evacuations routed requests that reached it although it was not ready; before a set is known, all domains now count as evacuated where the site has evacuations.

--- a/src/policy/gateway/evacuations.ts
+++ b/src/policy/gateway/evacuations.ts
@@ -55,9 +55,9 @@
 		return [...new Set([...this._set.domains, ...this._listRetained(now)])].sort();
 	}
 
-	/** Whether no request may be sent to the targets of a domain. */
+	/** Whether no request may be sent to the targets of a domain; to none before a set is known. */
 	isEvacuated(domain: string, now: number): boolean {
-		return this._set.domains.includes(domain) || now < (this._retainedUntil.get(domain) ?? Number.NEGATIVE_INFINITY);
+		return !this.isKnown || this._set.domains.includes(domain) || now < (this._retainedUntil.get(domain) ?? Number.NEGATIVE_INFINITY);
 	}
 
 	/** Whether domains stay evacuated that the held set does not contain. */
--- a/test/support/in-memory-fleet.ts
+++ b/test/support/in-memory-fleet.ts
@@ -16,9 +16,9 @@
 
 const measureMessageBytes = (message: SyncMessage): number => JSON.stringify({...message, members: message.members.map(member => encodeMember(member))}).length;
 
-const stripGeneration = (message: SyncMessage, isOlder: boolean): SyncMessage => {
-	const {targetsGeneration, ...view} = message.view;
-	return isOlder ? {...message, view} : message;
+const stripNewer = ({evacuations: set, ...message}: SyncMessage): SyncMessage => {
+	const {targetsGeneration, evacuations, ...view} = message.view;
+	return {...message, view};
 };
 
 /** Member controllers that exchange messages in memory under fake timers; the peer address of an instance is its id. */
@@ -32,7 +32,7 @@
 	partitioned = new Set<string>();
 	/** Lines of all instances that are of interest to an operator. */
 	readonly lines: LoggedLine[] = [];
-	/** Ids of instances of the previous version, which knows no generations of the list of targets. */
+	/** Ids of instances of the previous version, which knows neither generations of the list of targets nor evacuations. */
 	olderVersions = new Set<string>();
 	private readonly _random = new SeededRandom(16);
 
@@ -47,7 +47,7 @@
 	addInstance(id: string, failureDomain: string, cores = 0.27): void {
 		this.instances.get(id)?.members.dispose();
 		const clock = {now: () => Date.now()};
-		const view = new SiteView({clock, logger: silentLogger});
+		const view = new SiteView({clock, logger: silentLogger, evacuationMs: 5000});
 		const metrics = new ScrapedMetrics();
 		const members = new MemberController({
 			self: {
@@ -63,7 +63,7 @@
 					}
 
 					const isOlder = this.olderVersions.has(id) || this.olderVersions.has(address);
-					const response = stripGeneration(peer.members.handleMessage(stripGeneration(message, isOlder)), isOlder);
+					const response = isOlder ? stripNewer(peer.members.handleMessage(stripNewer(message))) : peer.members.handleMessage(message);
 					this._recordBytes(id, address, measureMessageBytes(message) + measureMessageBytes(response));
 					return ok(response);
 				},
