Limit the requests to cold targets

A target that warms up crashes when all instances together send it more than its service's warmupPerS. The highest-ranked instances for a target (rendezvous hashing) own it and send at most one request per spacing; an instance that has just started or joined sends nothing. A warm-up that starts again is noticed in the record and in the responses (Warmup-Ms), and passed on to peers.

--- a/src/bin/gateway-daemon.ts
+++ b/src/bin/gateway-daemon.ts
@@ -25,6 +25,7 @@
 import {SyncClient} from '../io/gateway/sync-client.js';
 import {systemClock} from '../io/system-clock.js';
 import {addressTtlMs} from '../policy/gateway/address-ttl-ms.js';
+import {ColdTargetOwners} from '../policy/gateway/cold-target-owners.js';
 import {FleetShare} from '../policy/gateway/fleet-share.js';
 import {ResponseMemory} from '../policy/gateway/response-memory.js';
 import {HeldBytes} from '../policy/gateway/held-bytes.js';
@@ -133,6 +134,7 @@
 			metrics: this._metrics,
 			clock: systemClock,
 			random: Math.random,
+			coldTargetOwners: this._createColdTargetOwners(),
 			share: new FleetShare({
 				clock: systemClock,
 				failureDomainCount: settings.failureDomains.length,
@@ -258,6 +260,17 @@
 		});
 	}
 
+	private _createColdTargetOwners(): ColdTargetOwners {
+		const {instance, limits} = this._options.settings;
+		const owners = new ColdTargetOwners({
+			selfId: instance.id, members: this._members, overshoot: limits.warmUpOvershoot, slack: limits.warmUpSlack,
+		}, systemClock.now());
+		this._store.add(this._view.onVersionChange(() => {
+			owners.refresh(systemClock.now());
+		}));
+		return owners;
+	}
+
 	private _createCallerListener(): CallerListener {
 		const listener = new CallerListener({
 			chain: this._chain,
--- a/src/common/gateway/gateway-configuration-schema.ts
+++ b/src/common/gateway/gateway-configuration-schema.ts
@@ -25,6 +25,8 @@
 	name: z.string(),
 	healthPath: z.string().check(z.regex(healthPathPattern)),
 	connectionsPerTarget: z.int().check(z.positive()),
+	warmUpPerSecond: z.optional(z.number().check(z.nonnegative())),
+	warmUpMs: z.optional(z.number().check(z.nonnegative(), z.maximum(maxTimerMs))),
 });
 
 /** Validates a configuration, whether it was read from the registry or received from a peer; unknown fields are ignored. */
--- a/src/common/gateway/gateway-settings-schema.ts
+++ b/src/common/gateway/gateway-settings-schema.ts
@@ -16,6 +16,16 @@
 	isFirstStart: z.boolean({error: 'must be true or false'}),
 	registry: address,
 	limits: z.object({
-		cores: positive, memoryBytes: positive, stopMs: positive, targetChangeMs: positive, configurationChangeMs: positive, retryRatio: notNegative, retrySlack: notNegative, retryWindowMs: positive, probesPerTargetPerSecond: notNegative,
+		cores: positive,
+		memoryBytes: positive,
+		stopMs: positive,
+		targetChangeMs: positive,
+		configurationChangeMs: positive,
+		retryRatio: notNegative,
+		retrySlack: notNegative,
+		retryWindowMs: positive,
+		probesPerTargetPerSecond: notNegative,
+		warmUpOvershoot: z.optional(notNegative),
+		warmUpSlack: z.optional(notNegative),
 	}, {error: 'must be an object'}),
 }, {error: 'must be an object'});
--- a/src/common/gateway/gateway-settings.ts
+++ b/src/common/gateway/gateway-settings.ts
@@ -41,5 +41,9 @@
 		readonly retryWindowMs: number;
 		/** Health checks per second that the whole fleet may send to one target. */
 		readonly probesPerTargetPerSecond: number;
+		/** Factor on the rate of a cold target up to which it may be exceeded within one second; undefined when the site has no such limit. */
+		readonly warmUpOvershoot?: number | undefined;
+		/** Requests within one second that may reach a cold target beyond that; undefined when the site has no such limit. */
+		readonly warmUpSlack?: number | undefined;
 	};
 };
--- a/src/common/gateway/header-vocabulary.ts
+++ b/src/common/gateway/header-vocabulary.ts
@@ -16,4 +16,6 @@
 	readonly notRun: string;
 	/** States on a response that the target is leaving. */
 	readonly leaving: string;
+	/** Remaining warm-up time of a target, in ms. */
+	readonly warmUp: string;
 };
--- a/src/common/gateway/target-report.ts
+++ b/src/common/gateway/target-report.ts
@@ -8,4 +8,6 @@
 	readonly isLeaving: boolean;
 	/** Time for which the target accepts no requests from this instance, in ms; 0 for none. */
 	readonly pauseMs: number;
+	/** Remaining warm-up time, in ms; undefined when the response does not state it. */
+	readonly warmUpLeftMs?: number | undefined;
 };
--- a/src/controllers/gateway/background-work.test.ts
+++ b/src/controllers/gateway/background-work.test.ts
@@ -231,7 +231,7 @@
 		const choice = {estimateMs: 1, hasFreeSlot: true, isIdle: true} as unknown as TargetChoice;
 		const isByReport = method === 'grant';
 		const pool = {
-			serviceTimes: {usualMs: 1, meanMs: 1}, inFlight: 1, size: 1, isExhausted: () => false, computePauseMs: () => 0,
+			serviceTimes: {usualMs: 1, meanMs: 1}, inFlight: 1, size: 1, isExhausted: () => false, computePauseMs: () => 0, computePermitWaitMs: () => 0,
 			chooseFromReports: () => isByReport ? choice : undefined,
 			chooseWithProbes: async () => choice,
 			grant: () => ({target: {id: 'i-1'}} as unknown as TargetLease),
--- a/src/controllers/gateway/load-refresher.ts
+++ b/src/controllers/gateway/load-refresher.ts
@@ -20,8 +20,8 @@
 	readonly logger: Logger;
 	readonly metrics: Metrics;
 	readonly clock: Clock;
-	/** Called with what a target said of itself in the response to a probe. */
-	readonly onReport: (pooledTarget: PooledTarget, report: TargetReport) => void;
+	/** Called with what a target said of itself in the response to a probe, and the time at which it was asked. */
+	readonly onReport: (pooledTarget: PooledTarget, report: TargetReport, askedAt: number) => void;
 };
 
 /** Longest wait for the responses to probes, in ms: two round trips between failure domains and the processing time of the targets. */
@@ -68,6 +68,7 @@
 		const {clock, prober, getService, rater, metrics, onReport} = this._options;
 		const service = getService();
 		const {record, client} = pooledTarget;
+		const askedAt = clock.now();
 		const probeResult = await prober.probe(client, service.healthPath, record.target.id);
 		pooledTarget.pendingProbe = undefined;
 		metrics.countEvent('target.probes', {service: service.name, result: probeResult === undefined ? 'silent' : (probeResult.isHealthy ? 'healthy' : 'unhealthy')});
@@ -83,7 +84,7 @@
 				rater.recordReport(record, load, now);
 			}
 
-			onReport(pooledTarget, probeResult.report);
+			onReport(pooledTarget, probeResult.report, askedAt);
 		}
 	}
 }
--- a/src/controllers/gateway/member-controller.ts
+++ b/src/controllers/gateway/member-controller.ts
@@ -4,7 +4,6 @@
 import type {DisposableLike} from '../../common/disposable-like.js';
 import type {ConfigurationHolder} from '../../common/gateway/configuration-holder.js';
 import type {GatewayMember} from '../../common/gateway/gateway-member.js';
-import type {MemberRestart} from '../../common/gateway/member-restart.js';
 import {MemberState} from '../../common/gateway/member-state.js';
 import type {NeighbourSet} from '../../common/gateway/neighbour-set.js';
 import type {PublishedConfiguration} from '../../common/gateway/published-configuration.js';
@@ -20,6 +19,7 @@
 import {ConfigurationFetcher} from './configuration-fetcher.js';
 import {createPeerLink} from './create-peer-link.js';
 import {createSyncMessage} from './create-sync-message.js';
+import {logNeighbourRestarts} from './log-neighbour-restarts.js';
 import type {PeerLink} from './peer-link.js';
 import {RecordMerger} from './record-merger.js';
 import type {SiteView} from './site-view.js';
@@ -181,6 +181,11 @@
 		return this._table.listRunning();
 	}
 
+	/** Lists the instances that may be running, lost ones included. */
+	listNotLeft(): GatewayMember[] {
+		return this._table.listNotLeft();
+	}
+
 	/** Applies a peer's message and returns this instance's message in response. */
 	handleMessage(message: SyncMessage): SyncMessage {
 		this._applyMessage(message);
@@ -345,7 +350,10 @@
 		const now = clock.now();
 		const link = this._getLink(message.from, message.incarnation);
 		const {hasChanged, restarts} = this._merger.mergeRecords(message.members, message.from, now);
-		this._logRestarts(restarts);
+		if (restarts.length > 0) {
+			this._updateTopology();
+			logNeighbourRestarts(restarts, this._neighbours, this._options.logger);
+		}
 
 		link.lastMessageAt = now;
 		link.view = message.view;
@@ -363,24 +371,6 @@
 		}
 	}
 
-	/** Logs restarts of neighbours; the other instances of a large fleet only count them. */
-	private _logRestarts(restarts: readonly MemberRestart[]): void {
-		if (restarts.length === 0) {
-			return;
-		}
-
-		this._updateTopology();
-		for (const {member, previous} of restarts.filter(restart => this._neighbours.all.some(({id}) => id === restart.member.id))) {
-			this._options.logger.logInfo('member-restarted', {
-				member: member.id,
-				previous: MemberState[previous.state].toLowerCase(),
-				incarnation: member.incarnation,
-				previousIncarnation: previous.incarnation,
-				sinceStartMs: member.incarnation - previous.incarnation,
-			});
-		}
-	}
-
 	/** Lists the instances that have a newer configuration, the one with the latest message first. */
 	private _listHolders(version: number): ConfigurationHolder[] {
 		return [...this._links]
--- a/src/controllers/gateway/placement-controller.ts
+++ b/src/controllers/gateway/placement-controller.ts
@@ -9,6 +9,7 @@
 import type {Logger} from '../../common/logger.js';
 import type {Metrics} from '../../common/metrics.js';
 import {RequestError} from '../../common/request-error.js';
+import type {ColdTargetOwners} from '../../policy/gateway/cold-target-owners.js';
 import type {FleetShare} from '../../policy/gateway/fleet-share.js';
 import {minRetryAfterMs} from '../../policy/gateway/min-retry-after-ms.js';
 import {RetryBudget} from '../../policy/gateway/retry-budget.js';
@@ -27,6 +28,8 @@
 	readonly metrics: Metrics;
 	readonly clock: Clock;
 	readonly random: () => number;
+	/** Divides the requests to cold targets among instances; undefined for no limit. */
+	readonly coldTargetOwners?: ColdTargetOwners | undefined;
 	/** Divides limits of the fleet among its instances. */
 	readonly share: Pick<FleetShare, 'divide' | 'divideWindowLimit'>;
 };
@@ -92,6 +95,7 @@
 			metrics.recordGauge('queue.waiting', placer.waitingCount, {service});
 			metrics.recordGauge('target.in_flight', pool.inFlight, {service});
 			metrics.recordGauge('target.paused', pool.pausedCount, {service});
+			metrics.recordGauge('target.cold', pool.coldCount, {service});
 			metrics.recordGauge('target.usual_ms', pool.serviceTimes.usualMs, {service});
 			metrics.recordGauge('request.repeats_left', retryBudget.getRemaining(clock.now()), {service});
 		}
@@ -150,6 +154,7 @@
 			prober: new TargetProber(headers),
 			logger,
 			metrics,
+			coldTargetOwners: this._options.coldTargetOwners,
 			maxResponseBytes: limits.memoryBytes / responseMemoryDivisor,
 			getMaxConnections: ({connectionsPerTarget}) => Math.max(1, Math.floor(share.divide(connectionsPerTarget))),
 			getProbeRate: () => share.divide(limits.probesPerTargetPerSecond),
--- a/src/controllers/gateway/service-placer.test.ts
+++ b/src/controllers/gateway/service-placer.test.ts
@@ -24,6 +24,7 @@
 	let size = 1;
 	let isExhausted = false;
 	let pauseMs = 0;
+	let permitWaitMs = 0;
 	let now = 0;
 	let placer: ServicePlacer;
 
@@ -38,6 +39,7 @@
 		size = 1;
 		isExhausted = false;
 		pauseMs = 0;
+		permitWaitMs = 0;
 		now = 0;
 		const pool = {
 			serviceTimes: {usualMs, meanMs: usualMs},
@@ -47,6 +49,7 @@
 			},
 			isExhausted: () => isExhausted,
 			computePauseMs: () => pauseMs,
+			computePermitWaitMs: () => permitWaitMs,
 			chooseFromReports: () => choice,
 			chooseWithProbes: async () => choice,
 			grant: () => lease,
--- a/src/controllers/gateway/service-placer.ts
+++ b/src/controllers/gateway/service-placer.ts
@@ -157,7 +157,7 @@
 			return new RequestError(ErrorKind.NoTarget, detail, Number.isFinite(pauseMs) ? Math.max(minRetryAfterMs, pauseMs) : minRetryAfterMs);
 		}
 
-		const waitMs = this.predictWaitMs();
+		const waitMs = Math.max(this.predictWaitMs(), pool.computePermitWaitMs(excludedTargets, this._waiters.length));
 		if (waitMs > 0 && clock.now() + waitMs > objectiveAt - pool.serviceTimes.usualMs) {
 			const detail = `${this._waiters.length} requests of service "${service}" are queued; the expected wait is ${Math.round(waitMs)} ms`;
 			return new RequestError(ErrorKind.QueueFull, detail, Math.max(minRetryAfterMs, waitMs));
--- /dev/null
+++ b/src/controllers/gateway/target-availability.ts
@@ -0,0 +1,42 @@
+import type {TargetGuard} from '../../policy/gateway/target-guard.js';
+import {TargetPauses} from '../../policy/gateway/target-pauses.js';
+import type {TargetRecord} from '../../policy/gateway/target-record.js';
+import type {PooledTarget} from './pooled-target.js';
+
+/** Decides whether the targets of one service may get requests: not while they pause or a guard keeps requests away. */
+export class TargetAvailability {
+	private readonly _pauses = new TargetPauses();
+
+	constructor(private readonly _guards: readonly TargetGuard[]) {}
+
+	/** Number of targets that accept no requests from this instance for now. */
+	get pausedCount(): number {
+		return this._pauses.size;
+	}
+
+	/** Computes the time until a target may be chosen, in ms: 0 when it may be now, `Infinity` when no time is known. */
+	computeBlockedMs({key, record}: PooledTarget, now: number): number {
+		return Math.max(this._pauses.getRemainingMs(key, now), ...this._guards.map(guard => guard.computeBlockedMs(record, now)));
+	}
+
+	/** Whether a request that was assigned to a target may still be written. */
+	canSend({isRemoved, key, record}: PooledTarget, now: number): boolean {
+		return !isRemoved && this._pauses.getRemainingMs(key, now) === 0 && this._guards.every(guard => guard.canSend(record, now));
+	}
+
+	/** Notes that a request was assigned to a target. */
+	noteGrant(record: TargetRecord, now: number): void {
+		for (const guard of this._guards) {
+			guard.noteGrant(record, now);
+		}
+	}
+
+	/** Keeps requests away from a target for a time. */
+	addPause({key}: PooledTarget, durationMs: number, now: number): void {
+		this._pauses.add(key, durationMs, now);
+	}
+
+	evictEnded(now: number): void {
+		this._pauses.evictEnded(now);
+	}
+}
--- a/src/controllers/gateway/target-pool.ts
+++ b/src/controllers/gateway/target-pool.ts
@@ -1,20 +1,22 @@
 import type {Clock} from '../../common/clock.js';
 import type {DisposableLike} from '../../common/disposable-like.js';
-import {AttemptEnd} from '../../common/gateway/attempt-end.js';
 import type {GatewayService} from '../../common/gateway/gateway-service.js';
 import type {GatewayTarget} from '../../common/gateway/gateway-target.js';
 import type {TargetReport} from '../../common/gateway/target-report.js';
 import type {Logger} from '../../common/logger.js';
 import type {Metrics} from '../../common/metrics.js';
 import {TargetClient} from '../../io/gateway/target-client.js';
+import type {ColdTargetOwners} from '../../policy/gateway/cold-target-owners.js';
 import {computeConcurrencyLimit} from '../../policy/gateway/compute-concurrency-limit.js';
 import {RateLimiter} from '../../policy/gateway/rate-limiter.js';
 import type {TargetGuard} from '../../policy/gateway/target-guard.js';
-import {TargetPauses} from '../../policy/gateway/target-pauses.js';
 import {TargetRecord} from '../../policy/gateway/target-record.js';
 import type {ServiceTimeAverages} from '../../policy/gateway/service-time-averages.js';
+import {ColdTargets} from './cold-targets.js';
+import {createTargetLease} from './create-target-lease.js';
 import {disposeClientWhenIdle} from './dispose-client-when-idle.js';
 import {LoadRefresher} from './load-refresher.js';
+import {TargetAvailability} from './target-availability.js';
 import type {TargetCriteria} from './target-criteria.js';
 import type {TargetChoice} from './target-choice.js';
 import type {TargetLease} from './target-lease.js';
@@ -38,6 +40,8 @@
 	readonly getProbeRate: () => number;
 	/** Further reasons for which targets get no requests. */
 	readonly guards?: readonly TargetGuard[];
+	/** Divides the requests to cold targets among instances; undefined for no limit. */
+	readonly coldTargetOwners?: Pick<ColdTargetOwners, 'computeUnsettledMs' | 'findShare'> | undefined;
 	/** Called after a slot was freed. */
 	readonly onRelease: () => void;
 	/** Called when a target announces that it is leaving. */
@@ -50,6 +54,8 @@
 const probeBatchSize = 2;
 /** Largest random addition to a rank, as a factor of the usual time, so that instances do not all probe the same targets. */
 const rankJitter = 0.5;
+/** Gain of rank of a cold target that is owed a request; more than the ranks of others differ. */
+const owedRankGain = 1000;
 /** Time for which unused probes accumulate, in s. The limit is on the long-term average, over a day, and load peaks last some seconds. */
 const probeBurstSeconds = 10;
 
@@ -58,12 +64,15 @@
 	private readonly _pooledTargets = new Map<string, PooledTarget>();
 	private readonly _rater: TargetRater;
 	private readonly _loadRefresher: LoadRefresher;
-	private readonly _pauses = new TargetPauses();
+	private readonly _coldTargets: ColdTargets;
+	private readonly _availability: TargetAvailability;
 	private _service: GatewayService;
 
 	constructor(private readonly _options: TargetPoolOptions) {
 		this._service = _options.service;
 		this._rater = new TargetRater(_options.failureDomain);
+		this._coldTargets = new ColdTargets(_options, () => this._service);
+		this._availability = new TargetAvailability([..._options.guards ?? [], ...this._coldTargets.guards]);
 		// The limit is per target on average, so the budget is shared by all targets of the service; those in the own failure domain are probed most.
 		const budget = new RateLimiter({getRate: () => _options.getProbeRate() * this.size, burstSeconds: probeBurstSeconds}, _options.clock.now());
 		this._loadRefresher = new LoadRefresher({
@@ -71,8 +80,8 @@
 			rater: this._rater,
 			budget,
 			getService: () => this._service,
-			onReport: (pooledTarget, report) => {
-				this._applyReport(pooledTarget, report);
+			onReport: (pooledTarget, report, askedAt) => {
+				this._applyReport(pooledTarget, report, askedAt);
 			},
 		});
 	}
@@ -89,7 +98,13 @@
 
 	/** Number of targets that accept no requests from this instance for now. */
 	get pausedCount(): number {
-		return this._pauses.size;
+		return this._availability.pausedCount;
+	}
+
+	/** Number of targets that are cold. */
+	get coldCount(): number {
+		const now = this._options.clock.now();
+		return [...this._pooledTargets.values()].filter(({record}) => record.isWarming(now)).length;
 	}
 
 	/** Requests of this instance that are in flight at targets. */
@@ -110,7 +125,8 @@
 	/** Replaces the targets by those of a newer list; requests in flight at removed targets continue. */
 	update(targets: readonly GatewayTarget[]): void {
 		const {clock, getMaxConnections, maxResponseBytes} = this._options;
-		this._pauses.evictEnded(clock.now());
+		const now = clock.now();
+		this._availability.evictEnded(now);
 		const listedTargets = new Map(targets.filter(target => !target.isLeaving).map(target => [`${target.id} ${target.startedAt}`, target]));
 		const removedRecords = new Map<string, TargetRecord>();
 		for (const [key, pooledTarget] of this._pooledTargets) {
@@ -124,9 +140,10 @@
 		}
 
 		for (const [key, target] of listedTargets) {
-			if (!this._pooledTargets.has(key)) {
+			const staying = this._pooledTargets.get(key)?.record;
+			if (staying === undefined) {
 				this._pooledTargets.set(key, {
-					record: new TargetRecord(target, clock.now(), removedRecords.get(target.id)),
+					record: new TargetRecord(target, now, removedRecords.get(target.id)),
 					client: new TargetClient({
 						host: target.host, port: target.port, getMaxConnections: () => getMaxConnections(this._service), maxResponseBytes,
 					}),
@@ -134,6 +151,8 @@
 					isRemoved: false,
 					pendingProbe: undefined,
 				});
+			} else {
+				this._coldTargets.updateTarget(staying, target);
 			}
 		}
 	}
@@ -146,8 +165,14 @@
 	/** Computes the time until the first target accepts requests again, in ms: 0 when one does now, `Infinity` when no time is known. */
 	computePauseMs(excludedTargets: readonly string[]): number {
 		const now = this._options.clock.now();
-		const candidates = [...this._pooledTargets.values()].filter(({record}) => !excludedTargets.includes(record.target.id));
-		return candidates.length === 0 ? 0 : Math.min(...candidates.map(pooledTarget => this._computeBlockedMs(pooledTarget, now)));
+		const candidates = this._listNotExcluded(excludedTargets);
+		return candidates.length === 0 ? 0 : Math.min(...candidates.map(pooledTarget => this._availability.computeBlockedMs(pooledTarget, now)));
+	}
+
+	/** Computes the expected wait of a request for a permit while all targets are cold, in ms, behind others that wait; 0 when a target is not limited. */
+	computePermitWaitMs(excludedTargets: readonly string[], aheadCount: number): number {
+		const candidates = this._listNotExcluded(excludedTargets);
+		return this._coldTargets.computePermitWaitMs(candidates, aheadCount, (pooledTarget, now) => this._availability.computeBlockedMs(pooledTarget, now));
 	}
 
 	/** Chooses the best target by recent load reports, without probes; undefined when none is known to have a free slot. */
@@ -174,49 +199,22 @@
 	/** Takes a slot at the chosen target; releasing the lease frees it. */
 	grant({pooledTarget}: TargetChoice): TargetLease {
 		const {clock, metrics, onRelease} = this._options;
-		const {record, client} = pooledTarget;
-		const startedAt = clock.now();
-		const report = record.getLoad(startedAt);
-		const expectedSlowdown = this._rater.computeExpectedSlowdown(pooledTarget, startedAt);
-		let isReleased = false;
-		record.inFlight++;
-		record.addRunning();
-		for (const guard of this._guards) {
-			guard.noteGrant(record, startedAt);
-		}
-
-		return {
-			target: record.target,
-			report,
-			client,
-			canSend: () => this._canSend(pooledTarget, clock.now()),
-			release: (end, targetReport) => {
-				if (isReleased) {
-					return;
-				}
-
-				isReleased = true;
-				record.inFlight--;
+		const now = clock.now();
+		const lease = createTargetLease(pooledTarget, {
+			rater: this._rater,
+			clock,
+			canSend: () => this._availability.canSend(pooledTarget, clock.now()),
+			onEnd: end => {
 				metrics.countEvent('target.attempts', {service: this._service.name, end});
-				const now = clock.now();
-				if (targetReport?.load !== undefined) {
-					// A report in a response still counts the request that the response answers.
-					this._rater.recordReport(record, {...targetReport.load, running: Math.max(0, targetReport.load.running - 1)}, now);
-				}
-
-				record.recordEnd(end, now);
-				if (targetReport !== undefined) {
-					this._applyReport(pooledTarget, targetReport);
-				}
-
-				if (end === AttemptEnd.Answered) {
-					record.recordDurationRatio((now - startedAt) / (this.serviceTimes.usualMs * expectedSlowdown), now);
-					this.serviceTimes.record(now - startedAt, expectedSlowdown);
-				}
-
-				onRelease();
 			},
-		};
+			onReport: (report, startedAt) => {
+				this._applyReport(pooledTarget, report, startedAt);
+			},
+			onRelease,
+		});
+		this._coldTargets.countGrant(pooledTarget.record, now);
+		this._availability.noteGrant(pooledTarget.record, now);
+		return lease;
 	}
 
 	dispose(): void {
@@ -238,8 +236,13 @@
 		const now = this._options.clock.now();
 		let best: TargetChoice | undefined;
 		for (const pooledTarget of candidates) {
-			const isAvailable = !pooledTarget.isRemoved && this._computeBlockedMs(pooledTarget, now) === 0;
-			const choice = isAvailable && (!pooledTarget.record.isUnhealthy(now) || this._areAllUnhealthy(now)) ? this._rater.rate(pooledTarget, now, bodyBytes) : undefined;
+			const isOwed = this._coldTargets.isOwed(pooledTarget.record, now);
+			const isAvailable = !pooledTarget.isRemoved && this._availability.computeBlockedMs(pooledTarget, now) === 0;
+			const choice = isAvailable && (!pooledTarget.record.isUnhealthy(now) || this._areAllUnhealthy(now)) ? this._rater.rate(pooledTarget, now, bodyBytes, isOwed) : undefined;
+			if (isOwed && choice?.isIdle) {
+				return choice;
+			}
+
 			if (choice?.hasFreeSlot && (best === undefined || choice.estimateMs < best.estimateMs)) {
 				best = choice;
 			}
@@ -248,38 +251,37 @@
 		return best;
 	}
 
+	private _listNotExcluded(excludedTargets: readonly string[]): PooledTarget[] {
+		return [...this._pooledTargets.values()].filter(({record}) => !excludedTargets.includes(record.target.id));
+	}
+
 	/** Lists the targets that may have a free slot, the most promising first. */
 	private _listCandidates({excludedTargets}: TargetCriteria): PooledTarget[] {
-		const {clock, random} = this._options;
-		const now = clock.now();
-		const all = [...this._pooledTargets.values()].filter(pooledTarget => !excludedTargets.includes(pooledTarget.record.target.id) && this._computeBlockedMs(pooledTarget, now) === 0);
+		const now = this._options.clock.now();
+		const all = this._listNotExcluded(excludedTargets).filter(pooledTarget => this._availability.computeBlockedMs(pooledTarget, now) === 0);
 		const healthy = all.filter(({record}) => !record.isUnhealthy(now));
 		const notEjected = (healthy.length > 0 ? healthy : all).filter(({record}) => !record.isEjected(now));
 		// When all targets are ejected, requests are sent to them anyway, to detect a recovery.
 		return (notEjected.length > 0 ? notEjected : all)
 			.filter(({record}) => record.inFlight < computeConcurrencyLimit(record.target.slots))
-			.map(pooledTarget => ({pooledTarget, rank: this._rater.rankBeforeProbe(pooledTarget, now) + (random() * rankJitter)}))
+			.map(pooledTarget => ({pooledTarget, rank: this._rankBeforeProbe(pooledTarget, now)}))
 			.sort((a, b) => a.rank - b.rank)
 			.map(({pooledTarget}) => pooledTarget);
 	}
 
-	private get _guards(): readonly TargetGuard[] {
-		return this._options.guards ?? [];
+	/** Ranks a target by what is known before a probe; a cold one that is owed a request comes first. */
+	private _rankBeforeProbe(pooledTarget: PooledTarget, now: number): number {
+		return this._rater.rankBeforeProbe(pooledTarget, now) + (this._options.random() * rankJitter) - (this._coldTargets.isOwed(pooledTarget.record, now) ? owedRankGain : 0);
 	}
 
-	private _canSend({isRemoved, key, record}: PooledTarget, now: number): boolean {
-		return !isRemoved && this._pauses.getRemainingMs(key, now) === 0 && this._guards.every(guard => guard.canSend(record, now));
-	}
-
-	/** Computes the time until a target may be chosen, in ms. */
-	private _computeBlockedMs({key, record}: PooledTarget, now: number): number {
-		return Math.max(this._pauses.getRemainingMs(key, now), ...this._guards.map(guard => guard.computeBlockedMs(record, now)));
-	}
-
-	private _applyReport(pooledTarget: PooledTarget, {isLeaving, pauseMs}: TargetReport): void {
+	private _applyReport(pooledTarget: PooledTarget, {isLeaving, pauseMs, warmUpLeftMs}: TargetReport, askedAt: number): void {
 		const {clock, metrics, onLeaving} = this._options;
+		if (warmUpLeftMs !== undefined) {
+			this._coldTargets.recordWarmUp(pooledTarget.record, warmUpLeftMs, askedAt);
+		}
+
 		if (pauseMs > 0) {
-			this._pauses.add(pooledTarget.key, pauseMs, clock.now());
+			this._availability.addPause(pooledTarget, pauseMs, clock.now());
 			metrics.countEvent('target.announcements', {service: this._service.name, kind: 'pause'});
 		}
 
--- a/src/controllers/gateway/target-rater.ts
+++ b/src/controllers/gateway/target-rater.ts
@@ -98,8 +98,9 @@
 	Rates a target by its report if that is recent, or by this instance's requests in flight while no target has reported its load; undefined when the
 	target's load is not known.
 	@param bodyBytes - Size of the request body; a transfer to another failure domain has a cost, which counts as time.
+	@param isOwed - Whether the target counts as idle although it is slower because it is cold.
 	*/
-	rate(pooledTarget: PooledTarget, now: number, bodyBytes: number): TargetChoice | undefined {
+	rate(pooledTarget: PooledTarget, now: number, bodyBytes: number, isOwed = false): TargetChoice | undefined {
 		const {record} = pooledTarget;
 		const reported = record.getLoad(now);
 		const isKnown = reported !== undefined && reported.ageMs <= maxKnownAgeMs;
@@ -110,6 +111,7 @@
 		const load = isKnown ? reported.load : this._assumeLoad(record);
 		const {inFlight} = record;
 		const expectedSlowdown = computeExpectedSlowdown({load, inFlight, isWarming: record.isWarming(now)});
+		const idleSlowdown = isOwed ? computeExpectedSlowdown({load, inFlight, isWarming: false}) : expectedSlowdown;
 		const durationRatio = record.getDurationRatio(now);
 		const transferMs = this.isLocal(pooledTarget) ? 0 : bodyBytes / 1000 * remoteMsPerKilobyte;
 		const estimateMs = transferMs + estimateDuration({
@@ -117,7 +119,7 @@
 		});
 		const hasFreeSlot = Math.max(load.running + load.waiting, inFlight) < computeConcurrencyLimit(load.slots);
 		return {
-			pooledTarget, estimateMs, hasFreeSlot, isIdle: hasFreeSlot && (expectedSlowdown * durationRatio) + (transferMs / this.serviceTimes.usualMs) <= idleFactor,
+			pooledTarget, estimateMs, hasFreeSlot, isIdle: hasFreeSlot && (idleSlowdown * durationRatio) + (transferMs / this.serviceTimes.usualMs) <= idleFactor,
 		};
 	}
 
--- a/src/policy/gateway/member-table.ts
+++ b/src/policy/gateway/member-table.ts
@@ -76,9 +76,14 @@
 		return this.members.filter(({state}) => state === MemberState.Lost);
 	}
 
-	/** Counts the instances of a failure domain that have not left and so may be running, whether they are reachable or not. */
+	/** Lists the instances that have not left and so may be running, whether they are reachable or not. */
+	listNotLeft(): GatewayMember[] {
+		return this.members.filter(({state}) => state !== MemberState.Left);
+	}
+
+	/** Counts the instances of a failure domain that have not left. */
 	countNotLeft(failureDomain: string): number {
-		return this.members.filter(member => member.failureDomain === failureDomain && member.state !== MemberState.Left).length;
+		return this.listNotLeft().filter(member => member.failureDomain === failureDomain).length;
 	}
 
 	/**
--- a/src/policy/gateway/target-record.ts
+++ b/src/policy/gateway/target-record.ts
@@ -1,6 +1,7 @@
 import {AttemptEnd} from '../../common/gateway/attempt-end.js';
 import type {GatewayTarget} from '../../common/gateway/gateway-target.js';
 import type {TargetLoad} from '../../common/gateway/target-load.js';
+import {warmUpToleranceMs} from './warm-up-tolerance-ms.js';
 
 /** Weight of the newest attempt in the failure rate. */
 const failureWeight = 0.25;
@@ -33,13 +34,18 @@
 	private _unhealthyUntil = Number.NEGATIVE_INFINITY;
 	private _durationRatio = 1;
 	private _durationRatioAt = 0;
+	private _warmUntil: number;
+	/** Time of the report to which the end of the warm-up was last extended, in ms. */
+	private _warmUpRaisedAt: number;
 
 	/**
 	@param target - Its entry in the list of targets.
-	@param _listedAt - Time at which the target was first listed, in ms.
+	@param listedAt - Time at which the target was first listed, in ms.
 	@param predecessor - Record that this one replaces (restart or new address), if any.
 	*/
-	constructor(public target: GatewayTarget, private readonly _listedAt: number, predecessor?: TargetRecord) {
+	constructor(public target: GatewayTarget, listedAt: number, predecessor?: TargetRecord) {
+		this._warmUntil = listedAt + target.warmUpLeftMs;
+		this._warmUpRaisedAt = listedAt;
 		this._failureRate = predecessor === undefined ? 0 : Math.max(predecessor.failureRate, restartFailureRate);
 	}
 
@@ -54,7 +60,40 @@
 
 	/** Whether the target is still warming up after its start. */
 	isWarming(now: number): boolean {
-		return now - this._listedAt < this.target.warmUpLeftMs;
+		return now < this._warmUntil;
+	}
+
+	/** Gets the remaining warm-up time, in ms; 0 for a warm target. */
+	getWarmUpLeftMs(now: number): number {
+		return Math.max(0, this._warmUntil - now);
+	}
+
+	/**
+	Replaces the entry in the list of targets by a newer one of the same incarnation. An entry may be seconds old, so it never ends a warm-up.
+	@returns Whether the target has become cold again.
+	*/
+	updateTarget(target: GatewayTarget, now: number): boolean {
+		this.target = target;
+		return this.recordWarmUp(target.warmUpLeftMs, Number.NEGATIVE_INFINITY, now);
+	}
+
+	/**
+	Records a remaining warm-up time that the target stated. It ends the warm-up earlier only if the target was asked after the last extension, since
+	responses may be read late.
+	@param askedAt - Time at which the target was asked, in ms.
+	@returns Whether the target has become cold again.
+	*/
+	recordWarmUp(leftMs: number, askedAt: number, now: number): boolean {
+		const until = now + leftMs;
+		const hasRestarted = leftMs > 0 && until > Math.max(this._warmUntil, now) + warmUpToleranceMs;
+		if (until > this._warmUntil && leftMs > 0) {
+			this._warmUntil = until;
+			this._warmUpRaisedAt = now;
+		} else if (askedAt >= this._warmUpRaisedAt) {
+			this._warmUntil = until;
+		}
+
+		return hasRestarted;
 	}
 
 	/** Whether the target is ejected and gets no requests for now. */
--- a/src/policy/gateway/target-table.ts
+++ b/src/policy/gateway/target-table.ts
@@ -1,15 +1,22 @@
 import type {GatewayTarget} from '../../common/gateway/gateway-target.js';
 import type {TargetChanges} from '../../common/gateway/target-changes.js';
 import type {TargetList} from '../../common/gateway/target-list.js';
+import {warmUpToleranceMs} from './warm-up-tolerance-ms.js';
 
 type Entry = {readonly target: GatewayTarget; readonly heldSince: number};
 
 /** Maximum number of removals and of complete revisions that are kept; a peer with an older list is sent the complete one. */
 const maxHistorySize = 500;
 
-/** Formats the fields that count as a change; the remaining warm-up time is left out, since it shrinks with every read. */
+/** Formats the fields that count as a change. The remaining warm-up time is left out, since it shrinks with every read. */
 const describeTarget = ({service, host, port, slots, isLeaving, startedAt}: GatewayTarget): string => [service, host, port, slots, isLeaving, startedAt].join(' ');
 
+const computeWarmUpLeftMs = ({target, heldSince}: Entry, now: number): number => Math.max(0, target.warmUpLeftMs - (now - heldSince));
+
+/** Whether a newer record of a target is a change: in one of these fields, or since its warm-up has started again. */
+const hasChangedSince = (target: GatewayTarget, current: Entry, now: number): boolean =>
+	describeTarget(target) !== describeTarget(current.target) || target.warmUpLeftMs > computeWarmUpLeftMs(current, now) + warmUpToleranceMs;
+
 /** The list of targets, with the registry revision of each record and of the list; a record is never replaced by an older one. */
 export class TargetTable {
 	private readonly _entries = new Map<string, Entry>();
@@ -42,8 +49,8 @@
 
 		let hasChanged = false;
 		for (const target of targets) {
-			const current = this._entries.get(target.id)?.target;
-			if (current === undefined || (target.revision > current.revision && describeTarget(target) !== describeTarget(current))) {
+			const current = this._entries.get(target.id);
+			if (current === undefined || (target.revision > current.target.revision && hasChangedSince(target, current, now))) {
 				this._entries.set(target.id, {target, heldSince: now});
 				hasChanged = true;
 			}
@@ -68,8 +75,8 @@
 		const held = new Map(this._entries);
 		this._entries.clear();
 		for (const target of targets) {
-			const current = held.get(target.id)?.target;
-			hasChanged ||= current === undefined || describeTarget(target) !== describeTarget(current);
+			const current = held.get(target.id);
+			hasChanged ||= current === undefined || hasChangedSince(target, current, now);
 			this._entries.set(target.id, {target, heldSince: now});
 		}
 
@@ -114,17 +121,17 @@
 		const since = this._completeRevisions.has(revision) ? revision : 0;
 		const changed = [...this._entries.values()]
 			.filter(({target}) => target.revision > since)
-			.map(({target, heldSince}) => ({...target, warmUpLeftMs: Math.max(0, Math.round(target.warmUpLeftMs - (now - heldSince)))}));
+			.map(entry => ({...entry.target, warmUpLeftMs: Math.round(computeWarmUpLeftMs(entry, now))}));
 		return {since, changed, removed: since === 0 ? [] : [...this._removals].filter(([, removalRevision]) => removalRevision > since)};
 	}
 
 	private _merge({since, changed, removed}: TargetChanges, revision: number, now: number): boolean {
 		let hasChanged = false;
 		for (const target of changed) {
-			const current = this._entries.get(target.id)?.target;
+			const current = this._entries.get(target.id);
 			// When there is no current record, one older than the current list has been removed since.
-			const isNewer = target.revision > (current?.revision ?? this._completeRevision);
-			if (isNewer && (current === undefined || describeTarget(target) !== describeTarget(current))) {
+			const isNewer = target.revision > (current?.target.revision ?? this._completeRevision);
+			if (isNewer && (current === undefined || hasChangedSince(target, current, now))) {
 				this._entries.set(target.id, {target, heldSince: now});
 				hasChanged = true;
 			}
--- a/xo.config.js
+++ b/xo.config.js
@@ -25,7 +25,7 @@
 };
 
 /** Headers, keys, paths and fields that the users' platform defines; only the adapter in `platform/` may use them. */
-const platformWords = /attempt-id|deadline-ms|response-signature|target-instance|instance-id|server-(?:load|leaving)|not-executed|op\/config|kv-(?:key|range|watch)|\/v1\/re(?:solve|adiness)|trafficSplit|targetLatencyMs|storeRevision/iv;
+const platformWords = /attempt-id|deadline-ms|response-signature|target-instance|instance-id|server-(?:load|leaving)|warmup-ms|not-executed|op\/config|kv-(?:key|range|watch)|\/v1\/re(?:solve|adiness)|trafficSplit|targetLatencyMs|storeRevision/iv;
 
 const noPlatformWords = {
 	meta: {type: 'problem', schema: [], messages: {word: '"{{word}}" is defined by the users\' platform and may be used in platform/ only.'}},
