Follow only plausible warm-up times, and expect capacity when a target is warm

A response with an absurd Warmup-Ms would have blocked a target at instances that do not probe it; the time is limited to the service's warmupS. The expected wait for a permit ends when a target is warm.

--- a/src/controllers/gateway/cold-targets.ts
+++ b/src/controllers/gateway/cold-targets.ts
@@ -40,11 +40,12 @@
 	}
 
 	/**
-	Records a remaining warm-up time that a target stated in a response.
+	Records a remaining warm-up time that a target stated in a response, up to the service's warm-up time. A target that is cold for longer says so when
+	it is probed again before the next request.
 	@param askedAt - Time at which the target was asked, in ms.
 	*/
 	recordWarmUp(record: TargetRecord, leftMs: number, askedAt: number): void {
-		if (record.recordWarmUp(leftMs, askedAt, this._options.clock.now())) {
+		if (record.recordWarmUp(Math.min(leftMs, this._getService().warmUpMs ?? leftMs), askedAt, this._options.clock.now())) {
 			this._logColdAgain(record, 'response');
 		}
 	}
@@ -73,7 +74,10 @@
 			return 0;
 		}
 
-		const waitMs = computePermitWaitMs(targets.map(target => ({blockedMs: computeBlockedMs(target, now), spacingMs: guard.getSpacingMs(target.record, now)})), aheadCount);
+		const sources = targets.map(target => ({
+			blockedMs: computeBlockedMs(target, now), spacingMs: guard.getSpacingMs(target.record, now), warmUpLeftMs: target.record.getWarmUpLeftMs(now),
+		}));
+		const waitMs = computePermitWaitMs(sources, aheadCount);
 		if (waitMs > 0) {
 			this._countPermit('refused');
 		}
--- a/src/controllers/gateway/service-placer.test.ts
+++ b/src/controllers/gateway/service-placer.test.ts
@@ -88,6 +88,18 @@
 		expect(refused._unsafeUnwrapErr().retryAfterMs).toBe(60_000);
 	});
 
+	// Guards against requests that wait for permits of cold targets until they are late, although another instance could serve them.
+	it.each([
+		{waitMs: 299, end: 'i-1', retryAfterMs: undefined},
+		{waitMs: 301, end: ErrorKind.QueueFull, retryAfterMs: 301},
+	])('with a permit expected in $waitMs ms ends a request with $end', async ({waitMs, end, retryAfterMs}) => {
+		permitWaitMs = waitMs;
+		choice = createChoice(100);
+		const result = await placer.acquire(createRequest());
+		expect(describeResult(result)).toBe(end);
+		expect(result.isErr() ? result.error.retryAfterMs : undefined).toBe(retryAfterMs);
+	});
+
 	it('ends a request that was aborted before, with the reason', async () => {
 		const reason = new RequestError(ErrorKind.CallerGone, 'the caller left');
 		choice = createChoice(100);
--- a/src/controllers/gateway/target-availability.ts
+++ b/src/controllers/gateway/target-availability.ts
@@ -16,7 +16,12 @@
 
 	/** Computes the time until a target may be chosen, in ms: 0 when it may be now, `Infinity` when no time is known. */
 	computeBlockedMs({key, record}: PooledTarget, now: number): number {
-		return Math.max(this._pauses.getRemainingMs(key, now), ...this._guards.map(guard => guard.computeBlockedMs(record, now)));
+		let blockedMs = this._pauses.getRemainingMs(key, now);
+		for (const guard of this._guards) {
+			blockedMs = Math.max(blockedMs, guard.computeBlockedMs(record, now));
+		}
+
+		return blockedMs;
 	}
 
 	/** Whether a request that was assigned to a target may still be written. */
--- a/src/controllers/gateway/target-pool.test.ts
+++ b/src/controllers/gateway/target-pool.test.ts
@@ -290,7 +290,7 @@
 		}
 
 		expect(sentCount).toBe(expected);
-		expect(pool.computePermitWaitMs([], 3)).toBeGreaterThan(share === undefined ? 16_000 : 2500);
+		expect(pool.computePermitWaitMs([], 3)).toBe(share === undefined ? 16_000 : 3000);
 		now += 20_000;
 		expect([pool.coldCount, pool.computePermitWaitMs([], 5)]).toEqual([0, 0]);
 	});
--- a/src/policy/gateway/parse-target-report.test.ts
+++ b/src/policy/gateway/parse-target-report.test.ts
@@ -34,6 +34,17 @@
 		expect(parseTargetReport({status: 200, rawHeaders: ['X-Leaving', value]}, gatewayHeaders)).toMatchObject({isLeaving, load: undefined});
 	});
 
+	it.each([
+		['12000', 12_000],
+		['0', 0],
+		['1.5', undefined],
+		['-1', undefined],
+		['soon', undefined],
+		['9'.repeat(400), 86_400_000],
+	])('reads from the header value "%s" the remaining warm-up time %s', (value, warmUpLeftMs) => {
+		expect(parseTargetReport({status: 200, rawHeaders: ['X-Warm-Up', value]}, gatewayHeaders).warmUpLeftMs).toBe(warmUpLeftMs);
+	});
+
 	it('reads the load', () => {
 		expect(parseTargetReport({status: 200, rawHeaders: ['X-Load', '1,0,4,150']}, gatewayHeaders).load).toEqual({
 			running: 1, waiting: 0, slots: 4, slowdown: 1.5,
--- a/src/policy/gateway/target-record.test.ts
+++ b/src/policy/gateway/target-record.test.ts
@@ -33,4 +33,33 @@
 		const record = new TargetRecord(gatewayTarget, 1000);
 		expect([record.isWarming(3999), record.isWarming(4000)]).toEqual([true, false]);
 	});
+
+	// Guards against late reports that end the warm-up of a target that has become cold, and against one that never ends.
+	it.each([
+		{
+			name: 'a longer time', leftMs: 20_000, askedAt: 1990, leftAfter: 20_000, isAgain: true,
+		},
+		{
+			name: 'a time that is longer by its way only', leftMs: 2300, askedAt: 1990, leftAfter: 2300, isAgain: false,
+		},
+		{
+			name: 'a shorter time', leftMs: 500, askedAt: 1990, leftAfter: 500, isAgain: false,
+		},
+		{
+			name: 'no time, asked before the warm-up was known', leftMs: 0, askedAt: 990, leftAfter: 2000, isAgain: false,
+		},
+	])('with 2,000 ms left, follows a response with $name', ({leftMs, askedAt, leftAfter, isAgain}) => {
+		const record = new TargetRecord(gatewayTarget, 1000);
+		expect(record.recordWarmUp(leftMs, askedAt, 2000)).toBe(isAgain);
+		expect(record.getWarmUpLeftMs(2000)).toBe(leftAfter);
+	});
+
+	it.each([
+		{warmUpLeftMs: 0, leftAfter: 2000, isAgain: false},
+		{warmUpLeftMs: 30_000, leftAfter: 30_000, isAgain: true},
+	])('with 2,000 ms left, takes over a newer entry of the list with $warmUpLeftMs ms', ({warmUpLeftMs, leftAfter, isAgain}) => {
+		const record = new TargetRecord(gatewayTarget, 1000);
+		expect(record.updateTarget({...gatewayTarget, slots: 9, warmUpLeftMs}, 2000)).toBe(isAgain);
+		expect([record.getWarmUpLeftMs(2000), record.target.slots]).toEqual([leftAfter, 9]);
+	});
 });
--- a/src/policy/gateway/target-table.test.ts
+++ b/src/policy/gateway/target-table.test.ts
@@ -111,6 +111,21 @@
 		expect(describeTargets(table)).toEqual(['c false']);
 	});
 
+	// Guards against a target that becomes cold again under the same start, of which peers are not told.
+	it.each([
+		{name: 'list', apply: (table: TargetTable, target: GatewayTarget) => table.applyList({revision: 9, targets: [target]}, 2000)},
+		{name: 'watch', apply: (table: TargetTable, target: GatewayTarget) => table.applyEvents({since: 5, changed: [target], removed: []}, 9, 2000)},
+	])('takes a warm-up that has started again for a change, from a $name, and passes it on', ({apply}) => {
+		const [table, peer] = [new TargetTable(), new TargetTable()];
+		for (const each of [table, peer]) {
+			each.applyList({revision: 5, targets: [createTarget('a', 4)]}, 0);
+		}
+
+		expect(apply(table, {...createTarget('a', 8), warmUpLeftMs: gatewayTarget.warmUpLeftMs})).toBe(true);
+		expect(peer.applyChanges(table.collectChanges(5, 2500), 9, 2500)).toBe(true);
+		expect(peer.targets[0]?.warmUpLeftMs).toBe(gatewayTarget.warmUpLeftMs - 500);
+	});
+
 	it('reduces the warm-up time in changes by the time since the record was stored', () => {
 		const table = new TargetTable();
 		table.applyList({revision: 5, targets: [createTarget('a', 4)]}, 1000);
