--- a/src/policy/gateway/cold-target-owners.ts
+++ b/src/policy/gateway/cold-target-owners.ts
@@ -52,6 +52,9 @@
 	private _changeNumber = -1;
 	private _memberKey = '';
 	private _members: ReadonlyArray<Pick<GatewayMember, 'id' | 'state'>> = [];
+	private _runningCount = 0;
+	/** Whether this instance is among the members: false once it has announced that it leaves. */
+	private _isListed = false;
 	private _changedAt: number;
 	private _settledCount = 1;
 	private _grownAt: number;
@@ -78,6 +81,8 @@
 
 		this._memberKey = memberKey;
 		this._members = notLeft;
+		this._runningCount = notLeft.filter(({state}) => state === MemberState.Running).length;
+		this._isListed = notLeft.some(({id}) => id === this._options.selfId);
 		this._changedAt = now;
 		if (notLeft.length >= this._settledCount * settleGrowth) {
 			this._grownAt = now;
@@ -119,7 +124,7 @@
 	private _computeShare(targetId: string, perSecond: number, since: number): OwnerShare | undefined {
 		const {selfId} = this._options;
 		const count = this._members.length;
-		if (!this._members.some(({id}) => id === selfId)) {
+		if (!this._isListed) {
 			return undefined;
 		}
 
@@ -128,13 +133,13 @@
 		const selfRank = rankMember(targetId, selfId);
 		let higherCount = 0;
 		let higherRunningCount = 0;
-		let runningCount = 0;
 		for (const {id, state} of this._members) {
-			const isRunning = state === MemberState.Running;
-			runningCount += Number(isRunning);
-			if (id !== selfId && higherRunningCount < ownerCount && hasHigherRank(targetId, id, selfId, selfRank)) {
+			if (id !== selfId && hasHigherRank(targetId, id, selfId, selfRank)) {
 				higherCount++;
-				higherRunningCount += Number(isRunning);
+				higherRunningCount += Number(state === MemberState.Running);
+				if (higherRunningCount === ownerCount) {
+					return undefined;
+				}
 			}
 		}
 
@@ -143,8 +148,8 @@
 		}
 
 		const replacementSpacingMs = spacingMs * replacementSpacingFactor;
-		const canReplace = runningCount * maxReplacingParts >= count && this._isWithinBound(perSecond, ownerCount, spacingMs);
-		return canReplace && higherRunningCount < ownerCount ? {spacingMs: replacementSpacingMs, since} : undefined;
+		const canReplace = this._runningCount * maxReplacingParts >= count && this._isWithinBound(perSecond, ownerCount, spacingMs);
+		return canReplace ? {spacingMs: replacementSpacingMs, since} : undefined;
 	}
 
 	/** Whether the requests of the owners and of their replacements in other parts of a partitioned fleet stay within the bound of the site. */
