--- a/src/controllers/gateway/cold-targets.ts
+++ b/src/controllers/gateway/cold-targets.ts
@@ -45,7 +45,8 @@
 	@param askedAt - Time at which the target was asked, in ms.
 	*/
 	recordWarmUp(record: TargetRecord, leftMs: number, askedAt: number): void {
-		if (record.recordWarmUp(Math.min(leftMs, this._getService().warmUpMs ?? leftMs), askedAt, this._options.clock.now())) {
+		const {warmUpMs = 0} = this._getService();
+		if (record.recordWarmUp(warmUpMs > 0 ? Math.min(leftMs, warmUpMs) : leftMs, askedAt, this._options.clock.now())) {
 			this._logColdAgain(record, 'response');
 		}
 	}
