Hedge the slowest idempotent requests within a limit of their own

A hedge was sent after 0.6 of the objective and limited by the retry budget alone, whatever the service's usual durations and the free capacity. With the new setting hedgeRatio it is sent after the 95th percentile of the service's durations, for at most this share of its requests, and only while no request waits here and targets report free slots; without it all is as before. The race of the two attempts has a file of its own.

--- a/src/bin/create-gateway-chain.ts
+++ b/src/bin/create-gateway-chain.ts
@@ -3,6 +3,7 @@
 import type {SiteInterface} from '../common/gateway/site-interface.js';
 import type {Logger} from '../common/logger.js';
 import type {CallerConnections} from '../controllers/caller-connections.js';
+import {createHedgeSource} from '../controllers/gateway/create-hedge-source.js';
 import type {IntakeController} from '../controllers/gateway/intake-controller.js';
 import type {PlacementController} from '../controllers/gateway/placement-controller.js';
 import type {SiteView} from '../controllers/gateway/site-view.js';
@@ -56,7 +57,7 @@
 
 /** Creates the chain of filters that every request of a gateway's callers passes. */
 export const createGatewayChain = (options: GatewayChainOptions): FilterChain<GatewayContext, BufferedResponse> => {
-	const {site, view, logger, notableLogger, metrics, connections, shutdown, intake, placement, readTracker, bodyMemory, responseMemory} = options;
+	const {settings, site, view, logger, notableLogger, metrics, connections, shutdown, intake, placement, readTracker, bodyMemory, responseMemory} = options;
 	const callerCheck = new CallerCheck({readTracker, clock: systemClock});
 	return new FilterChain<GatewayContext, BufferedResponse>([
 		new ShutdownFilter({shutdown, connections}),
@@ -78,6 +79,9 @@
 		new IntakeFilter(intake),
 		new RetryFilter({
 			placement,
+			hedges: createHedgeSource({
+				ratio: settings.limits.hedgeRatio, placement, view, clock: systemClock, metrics,
+			}),
 			runner: new AttemptRunner({
 				headers: site.headers, clock: systemClock, callerCheck, responseMemory,
 			}),
--- a/src/common/gateway/gateway-settings-schema.ts
+++ b/src/common/gateway/gateway-settings-schema.ts
@@ -4,6 +4,7 @@
 const address = z.string({error: 'must be a string'}).check(z.regex(/^[^\s:]+:\d{1,5}$/v, 'must be an address of the form host:port'));
 const positive = z.number({error: 'must be a number'}).check(z.positive('must be above 0'));
 const notNegative = z.number({error: 'must be a number'}).check(z.nonnegative('must not be below 0'));
+const ratio = z.number({error: 'must be a number'}).check(z.nonnegative('must not be below 0'), z.lte(1, 'must not be above 1'));
 
 /** Validates the settings of a gateway process; unknown fields are ignored. */
 export const gatewaySettingsSchema = z.object({
@@ -17,5 +18,6 @@
 	registry: address,
 	limits: z.object({
 		cores: positive, memoryBytes: positive, stopMs: positive, targetChangeMs: positive, configurationChangeMs: positive, retryRatio: notNegative, retrySlack: notNegative, retryWindowMs: positive, probesPerTargetPerSecond: notNegative,
+		hedgeRatio: z.optional(ratio),
 	}, {error: 'must be an object'}),
 }, {error: 'must be an object'});
--- a/src/common/gateway/gateway-settings.ts
+++ b/src/common/gateway/gateway-settings.ts
@@ -39,6 +39,8 @@
 		readonly retrySlack: number;
 		/** Length of the sliding window of the retry budget, in ms. */
 		readonly retryWindowMs: number;
+		/** Hedges allowed per request of a service on this instance, as a ratio; 0: none. When absent, the retry budget alone limits hedges. */
+		readonly hedgeRatio?: number | undefined;
 		/** Health checks per second that the whole fleet may send to one target. */
 		readonly probesPerTargetPerSecond: number;
 	};
--- a/src/controllers/gateway/placement-controller.ts
+++ b/src/controllers/gateway/placement-controller.ts
@@ -10,6 +10,7 @@
 import type {Metrics} from '../../common/metrics.js';
 import {RequestError} from '../../common/request-error.js';
 import type {FleetShare} from '../../policy/gateway/fleet-share.js';
+import type {HedgeCapacity} from '../../policy/gateway/hedge-capacity.js';
 import {minRetryAfterMs} from '../../policy/gateway/min-retry-after-ms.js';
 import {RetryBudget} from '../../policy/gateway/retry-budget.js';
 import type {PlacementRequest} from './placement-request.js';
@@ -73,6 +74,22 @@
 		return this._services.get(service)?.placer.predictWaitMs() ?? 0;
 	}
 
+	/** Returns the expected duration of a request at an idle target, in ms. */
+	getUsualMs(service: string): number {
+		return this._services.get(service)?.pool.serviceTimes.usualMs ?? 0;
+	}
+
+	/** Returns the state of a service by which its hedges are decided; undefined for an unknown service. */
+	getHedgeCapacity(service: string): HedgeCapacity | undefined {
+		const state = this._services.get(service);
+		return state && {
+			waitingCount: state.placer.unplacedCount,
+			freeShare: state.pool.computeFreeShare(),
+			usualMs: state.pool.serviceTimes.usualMs,
+			hasRetryLeft: state.retryBudget.getRemaining(this._options.clock.now()) >= 1,
+		};
+	}
+
 	/** Counts a new request, which adds to the retry budget of the service. */
 	addRequest(service: string): void {
 		this._services.get(service)?.retryBudget.addRequest(this._options.clock.now());
--- a/src/controllers/gateway/service-placer.ts
+++ b/src/controllers/gateway/service-placer.ts
@@ -41,6 +41,8 @@
 export class ServicePlacer implements DisposableLike {
 	private readonly _waiters = new RequestQueue<Waiter>();
 	private _probingCount = 0;
+	/** Requests for which targets are probed again. */
+	private _reprobingCount = 0;
 	private _recheckAt = Number.NEGATIVE_INFINITY;
 	private _timer: NodeJS.Timeout | undefined;
 
@@ -51,6 +53,11 @@
 		return this._waiters.length;
 	}
 
+	/** Number of requests for which targets were looked for at least once and that still wait for a slot. */
+	get unplacedCount(): number {
+		return this._waiters.length + this._reprobingCount;
+	}
+
 	/** Waits for a slot at a target. An error means that the request has not run. */
 	async acquire(request: PlacementRequest): Promise<Result<TargetLease, RequestError>> {
 		if (request.signal.aborted) {
@@ -198,7 +205,9 @@
 
 	private async _placeWithProbes(waiter: Waiter): Promise<void> {
 		let choice: TargetChoice | undefined;
+		const reprobing = waiter.hasProbed ? 1 : 0;
 		this._probingCount++;
+		this._reprobingCount += reprobing;
 		try {
 			choice = await this._options.pool.chooseWithProbes(waiter.request);
 		} catch (error) {
@@ -206,6 +215,7 @@
 		}
 
 		this._probingCount--;
+		this._reprobingCount -= reprobing;
 		try {
 			this._finishProbes(waiter, choice);
 		} catch (error) {
--- a/src/filters/gateway/retry-filter.ts
+++ b/src/filters/gateway/retry-filter.ts
@@ -1,33 +1,28 @@
 import {err, type Result} from 'neverthrow';
 import {ErrorKind} from '../../common/error-kind.js';
-import {AttemptEnd} from '../../common/gateway/attempt-end.js';
 import type {GatewayRoute} from '../../common/gateway/gateway-route.js';
 import type {BufferedResponse} from '../../common/gateway/buffered-response.js';
 import {Outcome} from '../../common/outcome.js';
 import {RequestError} from '../../common/request-error.js';
+import type {HedgeSource} from '../../controllers/gateway/hedge-source.js';
 import type {PlacementController} from '../../controllers/gateway/placement-controller.js';
 import type {PlacementRequest} from '../../controllers/gateway/placement-request.js';
 import type {AttemptRunner} from './attempt-runner.js';
 import type {GatewayContext} from './gateway-context.js';
 import type {GatewayFilter} from './gateway-filter.js';
 import type {GatewayResult} from './gateway-result.js';
+import {HedgeRace} from './hedge-race.js';
 
 type RetryFilterOptions = {
 	readonly placement: PlacementController;
+	readonly hedges: HedgeSource;
 	readonly runner: AttemptRunner;
 };
 
-/** Reason of the abort that cancels the loser of a race; the default one would capture a stack trace for each request. */
-const raceEnded = new RequestError(ErrorKind.CallerGone, 'another attempt has ended the request');
-
 type AttemptResult = Result<BufferedResponse, RequestError>;
 
 /** Shortest retry-after time of a request that targets refused although slots are free, in ms. */
 const minRefusedRetryAfterMs = 50;
-/** Fraction of a route's objective after which an idempotent request is also sent to a second, idle target. */
-const hedgeDelayFraction = 0.6;
-/** Fraction of the objective after which the filter looks for an idle target again if it could not hedge. */
-const hedgeRecheckFraction = 0.2;
 /**
 Attempts per request, refused ones included; a hedge counts as part of the first attempt. The route's `maxAttempts`, in contrast, counts
 every target tried, hedges included, and limits only retries of a request that an earlier attempt may have run; below 2 it also rules out a hedge.
@@ -52,7 +47,8 @@
 		}
 
 		this._options.placement.addRequest(context.service);
-		let result = await this._runWithHedge(context, route);
+		this._options.hedges.addRequest(context.service);
+		let result = await this._runFirstAttempt(context, route);
 		for (let attemptCount = 1; this._isFailure(result) && attemptCount < maxTotalAttempts && this._tryTakeRetry(context, route); attemptCount++) {
 			result = await this._runAttempt(context, route);
 		}
@@ -60,89 +56,47 @@
 		return result.mapErr(error => this._addRetryAfter(error, context.service));
 	}
 
-	/** Runs the first attempt and, if an idempotent request takes long, a second one in parallel; the first success wins and cancels the other. */
-	private async _runWithHedge(context: GatewayContext, route: GatewayRoute): Promise<AttemptResult> {
-		if (!route.isIdempotent || route.maxAttempts < 2) {
+	/** Runs the first attempt and, if an idempotent request takes long, a hedge beside it. */
+	private async _runFirstAttempt(context: GatewayContext, route: GatewayRoute): Promise<AttemptResult> {
+		const {hedges, placement, runner} = this._options;
+		if (hedges.isOff || !route.isIdempotent || route.maxAttempts < 2) {
 			return this._runAttempt(context, route);
 		}
 
-		// Both attempts end when the race is over or the request is aborted; combining the signals would cost more.
-		const raceController = new AbortController();
-		const abortRace = () => {
-			raceController.abort(context.signal.reason);
-		};
-
-		if (context.signal.aborted) {
-			abortRace();
-		}
-
-		context.signal.addEventListener('abort', abortRace, {once: true});
-		const firstAttempt = this._runAttempt(context, route, raceController.signal);
-		return new Promise((resolve, reject) => {
-			let isHedged = false;
-			// While the other attempt runs, one failure is not final; if both fail, the later result is returned.
-			let ignoredFailure: AttemptResult | undefined;
-			const settle = (result: AttemptResult) => {
-				if (this._isFailure(result) && isHedged && ignoredFailure === undefined) {
-					ignoredFailure = result;
-					return;
+		return new HedgeRace({
+			source: hedges,
+			callerSignal: context.signal,
+			objectiveMs: route.objectiveMs,
+			createPlacement: signal => this._createPlacementRequest(context, route, signal),
+			async runFirst(request, onPlaced) {
+				const lease = await placement.acquire(request);
+				if (lease.isErr()) {
+					return err(lease.error);
 				}
 
-				clearTimeout(timer);
-				resolve(result);
-				context.signal.removeEventListener('abort', abortRace);
-				raceController.abort(raceEnded);
-			};
-
-			const sendHedge = async () => {
-				// A hedge does not speed up a request that still waits for its first target.
-				const lease = context.attemptedTargets.length === 0 ? undefined : await this._options.placement.tryAcquire(this._createPlacementRequest(context, route, raceController.signal));
-				if (lease === undefined || raceController.signal.aborted || !this._options.placement.tryTakeRetry(context.service)) {
-					lease?.release(AttemptEnd.Unused);
-					scheduleHedge(hedgeRecheckFraction);
-					return;
-				}
-
-				isHedged = true;
-				settle(await this._options.runner.run(context, lease, raceController.signal));
-			};
-
-			// An exception ends the race like a final failure, so that neither the request nor the process is left with it.
-			const runOrFail = async (run: () => Promise<void>) => {
-				try {
-					await run();
-				} catch (error) {
-					clearTimeout(timer);
-					context.signal.removeEventListener('abort', abortRace);
-					raceController.abort(raceEnded);
-					reject(error instanceof Error ? error : new Error(String(error)));
-				}
-			};
-
-			const scheduleHedge = (delayFraction: number) => {
-				if (!raceController.signal.aborted && !context.signal.aborted) {
-					timer = setTimeout(() => {
-						void runOrFail(sendHedge);
-					}, route.objectiveMs * delayFraction);
-				}
-			};
-
-			let timer: NodeJS.Timeout | undefined;
-			scheduleHedge(hedgeDelayFraction);
-			void runOrFail(async () => {
-				settle(await firstAttempt);
-			});
-		});
+				onPlaced();
+				return runner.run(context, lease.value, request.signal);
+			},
+			runHedge: async (lease, signal) => runner.run(context, lease, signal),
+			isFailure: result => this._isFailure(result),
+		}).run();
 	}
 
-	private async _runAttempt(context: GatewayContext, route: GatewayRoute, signal = context.signal): Promise<AttemptResult> {
+	private async _runAttempt(context: GatewayContext, route: GatewayRoute): Promise<AttemptResult> {
+		const {signal} = context;
 		const leaseResult = await this._options.placement.acquire(this._createPlacementRequest(context, route, signal));
 		return leaseResult.isErr() ? err(leaseResult.error) : this._options.runner.run(context, leaseResult.value, signal);
 	}
 
 	private _createPlacementRequest(context: GatewayContext, route: GatewayRoute, signal: AbortSignal): PlacementRequest {
 		return {
-			service: context.service, priority: route.priority, objectiveAt: context.objectiveAt, deadlineAt: context.deadlineAt, excludedTargets: context.attemptedTargets, bodyBytes: context.body.length, signal,
+			service: context.service,
+			priority: route.priority,
+			objectiveAt: context.objectiveAt,
+			deadlineAt: context.deadlineAt,
+			excludedTargets: context.attemptedTargets,
+			bodyBytes: context.body.length,
+			signal,
 		};
 	}
 
--- /dev/null
+++ b/src/policy/gateway/compute-hedge-delay.ts
@@ -0,0 +1,37 @@
+type HedgeDelayInput = {
+	/** High quantile of the durations of the service's requests, in ms; undefined while too few are known. */
+	readonly quantileMs: number | undefined;
+	/** Expected duration at an idle target, in ms. */
+	readonly usualMs: number;
+	/** Objective of the route, in ms. */
+	readonly objectiveMs: number;
+	/** Time that the first attempt has left until its objective, in ms; negative when that has passed. */
+	readonly objectiveLeftMs: number;
+};
+
+/** Fraction of the objective after which a request is hedged while the durations of the service are not known. */
+const unknownDelayFraction = 0.6;
+/** Shortest delay, in ms: choosing a target with probes takes up to 8 ms, and a request in its last milliseconds is not shortened by a hedge. */
+const minDelayMs = 20;
+/** Time for choosing a target and opening a connection to it, in ms. */
+const placingMs = 20;
+/**
+Delay of a request that can't meet its objective even with a hedge, as a multiple of the quantile. Such a hedge gains little unless the
+first attempt is lost, and takes one from a request that could still be in time.
+*/
+const lateDelayFactor = 2;
+
+/**
+Computes the time after which the first attempt of a request is hedged, in ms: the quantile of the durations, but not less than the time
+that an idle target takes, and not so late that the hedge would miss an objective that an earlier one meets.
+*/
+export const computeHedgeDelayMs = ({quantileMs, usualMs, objectiveMs, objectiveLeftMs}: HedgeDelayInput): number => {
+	const minMs = Math.max(minDelayMs, usualMs);
+	const latestMs = objectiveLeftMs - usualMs - placingMs;
+	const slowMs = quantileMs === undefined ? objectiveMs * unknownDelayFraction : Math.max(minMs, quantileMs);
+	if (latestMs >= minMs) {
+		return Math.min(slowMs, latestMs);
+	}
+
+	return quantileMs === undefined ? slowMs : slowMs * lateDelayFactor;
+};
