--- a/src/filters/gateway/hedge-race.test.ts
+++ b/src/filters/gateway/hedge-race.test.ts
@@ -23,8 +23,8 @@
 describe('HedgeRace', () => {
 	let events: string[] = [];
 
-	/** Plays an attempt, which ends early when its signal is aborted. */
-	const playAttempt = async (name: 'first' | 'hedge', script: Script, signal: AbortSignal): Promise<AttemptResult> => new Promise((resolve, reject) => {
+	/** Runs an attempt, which ends early when its signal is aborted. */
+	const runAttempt = async (name: 'first' | 'hedge', script: Script, signal: AbortSignal): Promise<AttemptResult> => new Promise((resolve, reject) => {
 		const [afterMs, end] = script.split(' ');
 		const cancel = () => {
 			clearTimeout(timer);
@@ -69,9 +69,9 @@
 			createPlacement: signal => ({...placement, signal}),
 			async runFirst({signal}, onPlaced) {
 				onPlaced();
-				return playAttempt('first', first, signal);
+				return runAttempt('first', first, signal);
 			},
-			runHedge: async (_lease, signal) => playAttempt('hedge', hedge as Script, signal),
+			runHedge: async (_lease, signal) => runAttempt('hedge', hedge as Script, signal),
 			isFailure: result => result.isErr(),
 		});
 		const describeEnd = async (): Promise<string> => {
