Look at a late hedge again only when its request seems lost

A hedge that could not be sent in time for the objective was looked at again as soon as any other, and took one of the few from requests that could still be in time. It now waits until the attempt has taken twice the delay.

--- a/src/controllers/gateway/limited-hedge-source.test.ts
+++ b/src/controllers/gateway/limited-hedge-source.test.ts
@@ -86,6 +86,7 @@
 	it.each<readonly [string, Partial<HedgeRequest['placement']>, HedgeOffer, string[]]>([
 		['before a target was tried', {excludedTargets: []}, {kind: 'later', delayMs: 200}, ['refused-capacity']],
 		['when no target is idle', {}, {kind: 'later', delayMs: 200}, ['probed', 'refused-capacity']],
+		['and waits longer when the objective is missed by then', {objectiveAt: 250}, {kind: 'later', delayMs: 600}, ['probed', 'refused-capacity']],
 		['and looks again later for an attempt that takes long', {deadlineAt: 2000}, {kind: 'later', delayMs: 400}, ['probed', 'refused-capacity']],
 		['and does not look again when that would be too late', {deadlineAt: 1290}, {kind: 'never'}, ['probed', 'refused-capacity']],
 	])('sends no hedge %s', async (_name, fields, expected, expectedEvents) => {
--- a/src/controllers/gateway/limited-hedge-source.ts
+++ b/src/controllers/gateway/limited-hedge-source.ts
@@ -122,17 +122,19 @@
 		return placement.signal.aborted || decision.kind !== 'refuse' ? {kind: 'never'} : this._refuse(request, decision.refusal);
 	}
 
-	private _refuse({placement, placedAt, objectiveMs}: HedgeRequest, refusal: HedgeRefusal): HedgeOffer {
+	private _refuse({placement, placedAt, delayMs, objectiveMs}: HedgeRequest, refusal: HedgeRefusal): HedgeOffer {
 		const {clock, metrics} = this._options;
 		const now = clock.now();
 		metrics.countEvent('request.hedges', {service: placement.service, result: refusal});
-		const delayMs = computeHedgeRecheckMs({
+		const recheckMs = computeHedgeRecheckMs({
 			placedAt: placedAt ?? now,
+			delayMs,
 			objectiveMs,
+			objectiveAt: placement.objectiveAt,
 			deadlineAt: placement.deadlineAt,
 			usualMs: this._options.placement.getUsualMs(placement.service),
 		}, now);
-		return delayMs === undefined ? {kind: 'never'} : {kind: 'later', delayMs};
+		return recheckMs === undefined ? {kind: 'never'} : {kind: 'later', delayMs: recheckMs};
 	}
 
 	private _getService(service: string): ServiceHedges {
