--- a/src/controllers/gateway/placement-controller.ts
+++ b/src/controllers/gateway/placement-controller.ts
@@ -9,6 +9,7 @@
 import type {Logger} from '../../common/logger.js';
 import type {Metrics} from '../../common/metrics.js';
 import {RequestError} from '../../common/request-error.js';
+import {computeFreeShare} from '../../policy/gateway/compute-free-share.js';
 import type {FleetShare} from '../../policy/gateway/fleet-share.js';
 import type {HedgeCapacity} from '../../policy/gateway/hedge-capacity.js';
 import {minRetryAfterMs} from '../../policy/gateway/min-retry-after-ms.js';
@@ -81,12 +82,13 @@
 
 	/** Returns the state of a service by which its hedges are decided; undefined for an unknown service. */
 	getHedgeCapacity(service: string): HedgeCapacity | undefined {
+		const now = this._options.clock.now();
 		const state = this._services.get(service);
 		return state && {
 			waitingCount: state.placer.unplacedCount,
-			freeShare: state.pool.computeFreeShare(),
+			freeShare: computeFreeShare(state.pool.listReports(now)),
 			usualMs: state.pool.serviceTimes.usualMs,
-			hasRetryLeft: state.retryBudget.getRemaining(this._options.clock.now()) >= 1,
+			hasRetryLeft: state.retryBudget.getRemaining(now) >= 1,
 		};
 	}
 
--- a/src/controllers/gateway/target-pool.ts
+++ b/src/controllers/gateway/target-pool.ts
@@ -8,7 +8,6 @@
 import type {Metrics} from '../../common/metrics.js';
 import {TargetClient} from '../../io/gateway/target-client.js';
 import {computeConcurrencyLimit} from '../../policy/gateway/compute-concurrency-limit.js';
-import {computeFreeShare} from '../../policy/gateway/compute-free-share.js';
 import {RateLimiter} from '../../policy/gateway/rate-limiter.js';
 import type {TargetGuard} from '../../policy/gateway/target-guard.js';
 import {TargetPauses} from '../../policy/gateway/target-pauses.js';
@@ -151,10 +150,9 @@
 		return candidates.length === 0 ? 0 : Math.min(...candidates.map(pooledTarget => this._computeBlockedMs(pooledTarget, now)));
 	}
 
-	/** Computes the share of free slots in recent load reports of the targets; undefined when there is none. */
-	computeFreeShare(): number | undefined {
-		const now = this._options.clock.now();
-		return computeFreeShare([...this._pooledTargets.values()].map(({record}) => record.getLoad(now)));
+	/** Lists the last load report of each target; undefined for those without one. */
+	listReports(now: number): ReadonlyArray<ReturnType<TargetRecord['getLoad']>> {
+		return [...this._pooledTargets.values()].map(({record}) => record.getLoad(now));
 	}
 
 	/** Chooses the best target by recent load reports, without probes; undefined when none is known to have a free slot. */
