--- a/src/controllers/gateway/target-pool.ts
+++ b/src/controllers/gateway/target-pool.ts
@@ -175,6 +175,11 @@
 		return this._coldTargets.computePermitWaitMs(candidates, aheadCount, (pooledTarget, now) => this._availability.computeBlockedMs(pooledTarget, now));
 	}
 
+	/** Lists the last load report of each target; undefined for those without one. */
+	listReports(now: number): ReadonlyArray<ReturnType<TargetRecord['getLoad']>> {
+		return [...this._pooledTargets.values()].map(({record}) => record.getLoad(now));
+	}
+
 	/** Chooses the best target by recent load reports, without probes; undefined when none is known to have a free slot. */
 	chooseFromReports(criteria: TargetCriteria): TargetChoice | undefined {
 		return this._chooseBest(this._listCandidates(criteria), criteria);
