--- a/src/policy/gateway/cold-target-guard.test.ts
+++ b/src/policy/gateway/cold-target-guard.test.ts
@@ -38,7 +38,7 @@
 			get isJoined() {
 				return known.size > 1;
 			},
-			listNotLeft: () => [...known].sort().map(member => ({id: member, state: this._lost.has(member) ? MemberState.Lost : MemberState.Running})),
+			listNotLeft: () => [...known].sort().map(member => ({id: member, state: this._lost.has(member) ? MemberState.Lost : MemberState.Running, cores: 1 + (rankMember('cores', member) % 2)})),
 		};
 		const owners = new ColdTargetOwners({
 			selfId: id, members, overshoot: 1.5, slack: 8,
--- a/src/policy/gateway/cold-target-owners.ts
+++ b/src/policy/gateway/cold-target-owners.ts
@@ -3,6 +3,8 @@
 import type {OwnerShare} from './owner-share.js';
 import {rankMember} from './rank-member.js';
 
+type KnownMember = Pick<GatewayMember, 'id' | 'state' | 'cores'>;
+
 type ColdTargetOwnersOptions = {
 	readonly selfId: string;
 	/** The instances that this one knows. */
@@ -12,7 +14,7 @@
 		/** Whether this instance has joined the fleet. */
 		readonly isJoined: boolean;
 		/** Lists the instances that may be running, lost ones included. */
-		listNotLeft(): ReadonlyArray<Pick<GatewayMember, 'id' | 'state'>>;
+		listNotLeft(): readonly KnownMember[];
 	};
 	/** Factor on the rate of a cold target that is allowed within one second; undefined when the site has no limit. */
 	readonly overshoot: number | undefined;
@@ -34,9 +36,14 @@
 /** Time after which an unused entry is dropped, in ms. */
 const retentionMs = 60_000;
 
-const hasHigherRank = (targetId: string, id: string, selfId: string, selfRank: number): boolean => {
-	const rank = rankMember(targetId, id);
-	return rank === selfRank ? id > selfId : rank > selfRank;
+/** Whether another instance precedes this one as an owner: those with most processor time do, since they get most callers (limit-entries.ts). */
+const hasHigherRank = (targetId: string, other: KnownMember, self: KnownMember, selfRank: number): boolean => {
+	if (other.cores !== self.cores) {
+		return other.cores > self.cores;
+	}
+
+	const rank = rankMember(targetId, other.id);
+	return rank === selfRank ? other.id > self.id : rank > selfRank;
 };
 
 /** Number of requests that can arrive within one second of an instance that sends at this spacing. */
@@ -51,10 +58,9 @@
 	private readonly _startedAt: number;
 	private _changeNumber = -1;
 	private _memberKey = '';
-	private _members: ReadonlyArray<Pick<GatewayMember, 'id' | 'state'>> = [];
+	private _members: readonly KnownMember[] = [];
 	private _runningCount = 0;
 	/** Whether this instance is among the members: false once it has announced that it leaves. */
-	private _isListed = false;
 	private _changedAt: number;
 	private _settledCount = 1;
 	private _grownAt: number;
@@ -82,7 +88,6 @@
 		this._memberKey = memberKey;
 		this._members = notLeft;
 		this._runningCount = notLeft.filter(({state}) => state === MemberState.Running).length;
-		this._isListed = notLeft.some(({id}) => id === this._options.selfId);
 		this._changedAt = now;
 		if (notLeft.length >= this._settledCount * settleGrowth) {
 			this._grownAt = now;
@@ -124,7 +129,8 @@
 	private _computeShare(targetId: string, perSecond: number, since: number): OwnerShare | undefined {
 		const {selfId} = this._options;
 		const count = this._members.length;
-		if (!this._isListed) {
+		const self = this._members.find(({id}) => id === selfId);
+		if (self === undefined) {
 			return undefined;
 		}
 
@@ -133,10 +139,10 @@
 		const selfRank = rankMember(targetId, selfId);
 		let higherCount = 0;
 		let higherRunningCount = 0;
-		for (const {id, state} of this._members) {
-			if (id !== selfId && hasHigherRank(targetId, id, selfId, selfRank)) {
+		for (const member of this._members) {
+			if (member !== self && hasHigherRank(targetId, member, self, selfRank)) {
 				higherCount++;
-				higherRunningCount += Number(state === MemberState.Running);
+				higherRunningCount += Number(member.state === MemberState.Running);
 				if (higherRunningCount === ownerCount) {
 					return undefined;
 				}
