--- a/src/controllers/gateway/service-placer.test.ts
+++ b/src/controllers/gateway/service-placer.test.ts
@@ -91,12 +91,22 @@
 		expect(await placer.acquire(createRequest({signal: AbortSignal.abort(reason)}))).toEqual(err(reason));
 	});
 
-	it('refuses the waiting requests when the last target has gone', async () => {
-		const pending = placer.acquire(createRequest());
+	it.each([
+		['the last target has gone', [], () => {
+			size = 0;
+		}],
+		['no target accepts requests and none says when it will', [], () => {
+			pauseMs = Number.POSITIVE_INFINITY;
+		}],
+		['the same holds for those that it has not tried', ['i-0'], () => {
+			pauseMs = Number.POSITIVE_INFINITY;
+		}],
+	])('refuses a waiting request at once when %s', async (_name, excludedTargets, change) => {
+		const pending = placer.acquire(createRequest({excludedTargets}));
 		await new Promise(resolve => {
 			setTimeout(resolve, 5);
 		});
-		size = 0;
+		change();
 		placer.placeWaiting();
 		expect(describeResult(await pending)).toBe(ErrorKind.NoTarget);
 	});
