--- a/src/controllers/gateway/target-pool.test.ts
+++ b/src/controllers/gateway/target-pool.test.ts
@@ -27,6 +27,7 @@
 	let leavingIds: string[] = [];
 	let pool: TargetPool;
 	let guards: TargetGuard[] = [];
+	let unhealthyIds: string[] = [];
 
 	/** Ids of targets in the pool's own failure domain begin with a-, those of others with b-. */
 	const createPool = (ids: readonly string[], probeRate = 1000): TargetPool => {
@@ -34,7 +35,7 @@
 			async probe(_client: unknown, _path: string, id: string) {
 				probedIds.push(id);
 				const load = loads.get(id);
-				return load === undefined ? undefined : {isHealthy: true, targetId: id, report: {...silentReport, ...reports.get(id), load}};
+				return load === undefined ? undefined : {isHealthy: !unhealthyIds.includes(id), targetId: id, report: {...silentReport, ...reports.get(id), load}};
 			},
 		};
 		const created = new TargetPool({
@@ -62,6 +63,7 @@
 
 	beforeEach(() => {
 		guards = [];
+		unhealthyIds = [];
 		now = 10_000;
 		loads = new Map();
 		probedIds = [];
@@ -244,4 +246,14 @@
 		blocked.set('a-2', 10);
 		expect(lease?.canSend() ?? false).toBe(false);
 	});
+
+	// Guards against requests that find no target because the healthy ones are out of use.
+	it('chooses an unhealthy target when guards keep requests away from all healthy ones', async () => {
+		guards = [{computeBlockedMs: ({target}) => target.id === 'a-1' ? Number.POSITIVE_INFINITY : 0, noteGrant: () => undefined, canSend: () => true}];
+		unhealthyIds = ['b-1'];
+		loads = new Map([['a-1', idle], ['b-1', idle]]);
+		pool = createPool(['a-1', 'b-1']);
+		const choice = await pool.chooseWithProbes(anyTarget);
+		expect(choice?.pooledTarget.record.target.id).toBe('b-1');
+	});
 });
--- a/src/controllers/gateway/target-pool.ts
+++ b/src/controllers/gateway/target-pool.ts
@@ -290,6 +290,6 @@
 	}
 
 	private _areAllUnhealthy(now: number): boolean {
-		return [...this._pooledTargets.values()].every(({record}) => record.isUnhealthy(now));
+		return [...this._pooledTargets.values()].every(pooledTarget => pooledTarget.record.isUnhealthy(now) || this._computeBlockedMs(pooledTarget, now) > 0);
 	}
 }
