--- a/src/policy/gateway/cold-target-owners.test.ts
+++ b/src/policy/gateway/cold-target-owners.test.ts
@@ -7,13 +7,19 @@
 const findOwners = (coresById: Readonly<Record<string, number>>, targetId: string): string[] => {
 	const listed = Object.entries(coresById).map(([id, cores]) => ({id, cores, state: MemberState.Running}));
 	const members = {changeNumber: 1, isJoined: true, listNotLeft: () => listed};
-	return Object.keys(coresById).filter(selfId => new ColdTargetOwners({selfId, members, overshoot: 1.5, slack: 8}, 0).findShare(targetId, 2, settledAt) !== undefined);
+	return Object.keys(coresById).filter(selfId => new ColdTargetOwners({
+		selfId, members, overshoot: 1.5, slack: 8,
+	}, 0).findShare(targetId, 2, settledAt) !== undefined);
 };
 
 // Guards against cold targets that get nothing, since their owners are instances to which few callers are sent.
 describe('ColdTargetOwners', () => {
 	it.each([
-		{name: 'the instances with most processor time own a target', cores: {a: 0.25, b: 1.5, c: 0.25, d: 1.5, e: 0.25}, owners: ['b', 'd']},
+		{
+			name: 'the instances with most processor time own a target', cores: {
+				a: 0.25, b: 1.5, c: 0.25, d: 1.5, e: 0.25,
+			}, owners: ['b', 'd'],
+		},
 		{name: 'one of the others owns it beside a single large one', cores: {a: 0.25, b: 1.5}, owners: ['a', 'b']},
 		{name: 'a single instance owns it', cores: {a: 0.25}, owners: ['a']},
 	] as ReadonlyArray<{name: string; cores: Record<string, number>; owners: string[]}>)('$name', ({cores, owners}) => {
