--- a/src/policy/gateway/cold-target-guard.test.ts
+++ b/src/policy/gateway/cold-target-guard.test.ts
@@ -47,7 +47,7 @@
 	}
 
 	/** Takes over what the instance sees: those that it reaches run, others that it knows count as lost. */
-	see(reachable: ReadonlySet<string>): void {
+	updateView(reachable: ReadonlySet<string>): void {
 		for (const id of reachable) {
 			this.known.add(id);
 		}
@@ -102,7 +102,7 @@
 
 			const seen = history[Math.max(0, history.length - 1 - Math.floor(instance.lagMs / tickMs))];
 			const reachable = [...seen ?? []].filter(([id, group]) => id === instance.id || (group === instance.group && now - instance.startedAt > joinMs)).map(([id]) => id);
-			instance.see(new Set([...reachable, instance.id]));
+			instance.updateView(new Set([...reachable, instance.id]));
 			const delayMs = pickLag(index + (now / tickMs)) / 10;
 			arrivals.push(...Array.from({length: instance.run(now, delayMs)}, () => now + delayMs));
 		}
