--- a/src/controllers/gateway/target-pool.ts
+++ b/src/controllers/gateway/target-pool.ts
@@ -297,6 +297,6 @@
 	}
 
 	private _areAllUnhealthy(now: number): boolean {
-		return [...this._pooledTargets.values()].every(pooledTarget => pooledTarget.record.isUnhealthy(now) || this._computeBlockedMs(pooledTarget, now) > 0);
+		return [...this._pooledTargets.values()].every(pooledTarget => pooledTarget.record.isUnhealthy(now) || this._availability.computeBlockedMs(pooledTarget, now) > 0);
 	}
 }
