Let urgent requests go before less urgent ones of an instance

An urgent request was refused because less urgent ones waited: the expected wait counted all of them. Late requests of any priority got one slot in six.

Retry-After times of the refused follow the rate of free slots. Services with one priority keep their queue; a test compares order and refusals.

--- a/src/controllers/gateway/background-work.test.ts
+++ b/src/controllers/gateway/background-work.test.ts
@@ -10,6 +10,7 @@
 import type {SyncMessage} from '../../common/gateway/sync-message.js';
 import {MemberController} from './member-controller.js';
 import {RegistryReader} from './registry-reader.js';
+import {ServiceAdmission} from './service-admission.js';
 import {ServicePlacer} from './service-placer.js';
 import {SiteView} from './site-view.js';
 import {StateReporter} from './state-reporter.js';
@@ -238,7 +239,7 @@
 		};
 		throwOnce(pool as unknown as Methods<string>, method);
 		const placer = add(new ServicePlacer({
-			pool: pool as unknown as TargetPool, clock, logger, metrics,
+			pool: pool as unknown as TargetPool, admission: new ServiceAdmission(() => 0), clock, logger, metrics,
 		}));
 		const ends = [];
 		for (let count = 0; count < 6; count++) {
--- a/src/controllers/gateway/placement-controller.ts
+++ b/src/controllers/gateway/placement-controller.ts
@@ -12,7 +12,9 @@
 import type {FleetShare} from '../../policy/gateway/fleet-share.js';
 import {minRetryAfterMs} from '../../policy/gateway/min-retry-after-ms.js';
 import {RetryBudget} from '../../policy/gateway/retry-budget.js';
+import {listServicePriorities} from '../../policy/gateway/list-service-priorities.js';
 import type {PlacementRequest} from './placement-request.js';
+import {ServiceAdmission} from './service-admission.js';
 import {ServicePlacer} from './service-placer.js';
 import type {SiteView} from './site-view.js';
 import type {TargetLease} from './target-lease.js';
@@ -34,6 +36,7 @@
 type ServiceState = {
 	readonly pool: TargetPool;
 	readonly placer: ServicePlacer;
+	readonly admission: ServiceAdmission;
 	readonly retryBudget: RetryBudget;
 	/** The targets of the service in the last list. */
 	targets: readonly GatewayTarget[];
@@ -69,8 +72,8 @@
 	}
 
 	/** Predicts the wait of a new request of the service for a slot, in ms. */
-	predictWaitMs(service: string): number {
-		return this._services.get(service)?.placer.predictWaitMs() ?? 0;
+	predictWaitMs(service: string, priority: number): number {
+		return this._services.get(service)?.placer.predictWaitMs(priority) ?? 0;
 	}
 
 	/** Counts a new request, which adds to the retry budget of the service. */
@@ -129,6 +132,7 @@
 			const state = this._services.get(service.name) ?? this._createService(service);
 			this._services.set(service.name, state);
 			state.pool.setService(service);
+			state.admission.setPriorities(listServicePriorities(view.configuration?.routes ?? [], service.name));
 			const targets = targetsByService.get(service.name) ?? [];
 			// Most changes concern few services, and an update costs time for each target.
 			if (targets.length !== state.targets.length || targets.some((target, index) => target !== state.targets[index])) {
@@ -160,12 +164,14 @@
 				view.noteLeaving([target], 'response');
 			},
 		});
+		const admission = new ServiceAdmission(random);
 		const placer = new ServicePlacer({
-			pool, clock, logger, metrics,
+			pool, admission, clock, logger, metrics,
 		});
 		return {
 			pool,
 			placer,
+			admission,
 			targets: [],
 			retryBudget: new RetryBudget({ratio: limits.retryRatio * retryRatioShare, getSlack: () => share.divideWindowLimit(limits.retrySlack), windowMs: limits.retryWindowMs}),
 		};
--- /dev/null
+++ b/src/controllers/gateway/service-placer-priorities.test.ts
@@ -0,0 +1,134 @@
+import type {Result} from 'neverthrow';
+import {
+	afterEach, beforeEach, describe, expect, it, vi,
+} from 'vitest';
+import {silentLogger} from '../../../test/support/silent-logger.js';
+import {ErrorKind} from '../../common/error-kind.js';
+import type {RequestError} from '../../common/request-error.js';
+import {disabledMetrics} from '../../io/disabled-metrics.js';
+import type {PlacementRequest} from './placement-request.js';
+import {ServiceAdmission} from './service-admission.js';
+import {ServicePlacer} from './service-placer.js';
+import type {TargetChoice} from './target-choice.js';
+import type {TargetLease} from './target-lease.js';
+import type {TargetPool} from './target-pool.js';
+
+const usualMs = 100;
+const twoPriorities = [{priority: 0, objectiveMs: 400}, {priority: 2, objectiveMs: 1500}];
+
+describe('ServicePlacer with requests of different priorities', () => {
+	let freeSlots: number;
+	let ends: string[];
+	let placer: ServicePlacer;
+
+	beforeEach(() => {
+		vi.useFakeTimers();
+		freeSlots = 0;
+		ends = [];
+	});
+
+	afterEach(() => {
+		placer.dispose();
+		vi.useRealTimers();
+	});
+
+	const createPlacer = (priorities: ReadonlyArray<{priority: number; objectiveMs: number}>) => {
+		const choose = () => freeSlots > 0 ? {estimateMs: usualMs, hasFreeSlot: true, isIdle: true} as unknown as TargetChoice : undefined;
+		const pool = {
+			serviceTimes: {usualMs, meanMs: usualMs},
+			inFlight: 1,
+			size: 1,
+			isExhausted: () => false,
+			computePauseMs: () => 0,
+			chooseFromReports: choose,
+			chooseWithProbes: async () => choose(),
+			grant() {
+				freeSlots--;
+				return {target: {id: 'i-1'}} as unknown as TargetLease;
+			},
+		};
+		const admission = new ServiceAdmission(() => 0);
+		admission.setPriorities(priorities);
+		placer = new ServicePlacer({
+			pool: pool as unknown as TargetPool, admission, clock: {now: () => 0}, logger: silentLogger, metrics: disabledMetrics,
+		});
+	};
+
+	const sendRequest = async (name: string, request: PlacementRequest) => {
+		const result: Result<TargetLease, RequestError> = await placer.acquire(request);
+		ends.push(`${name} ${result.match(() => 'placed', ({kind}) => kind)}`);
+	};
+
+	/** Sends requests one after the other; each adds its name and its end to the list when it is settled. */
+	const sendRequests = async (requests: ReadonlyArray<readonly [name: string, priority: number, objectiveAt: number, deadlineAt?: number]>) => {
+		for (const [name, priority, objectiveAt, deadlineAt = 9000] of requests) {
+			void sendRequest(name, {
+				service: 's', priority, objectiveAt, deadlineAt, excludedTargets: [], bodyBytes: 0, signal: new AbortController().signal,
+			});
+			await vi.advanceTimersByTimeAsync(1);
+		}
+	};
+
+	const fillers = [['c1', 2, 1500], ['c2', 2, 1500], ['c3', 2, 1500]] as const;
+
+	it('does not refuse an urgent request because less urgent ones wait', async () => {
+		createPlacer(twoPriorities);
+		await sendRequests([...fillers, ['urgent', 0, 350]]);
+		expect(ends).toEqual([]);
+		freeSlots = 1;
+		placer.placeWaiting();
+		await vi.advanceTimersByTimeAsync(1);
+		expect(ends).toEqual(['urgent placed']);
+	});
+
+	it('refuses an urgent request that would miss its objective behind its own kind', async () => {
+		createPlacer(twoPriorities);
+		await sendRequests([['a', 0, 400], ['b', 0, 400], ['c', 0, 400], ['d', 0, 350]]);
+		expect(ends).toEqual([`d ${ErrorKind.QueueFull}`]);
+	});
+
+	it.each([
+		['would miss its objective', ['displaced', 2, 180]],
+		['is late and would miss its deadline', ['displaced', 2, 50, 180]],
+	] as const)('refuses a waiting request at once that %s behind an urgent one', async (_name, waiting) => {
+		createPlacer(twoPriorities);
+		await sendRequests([waiting, ['urgent', 0, 400]]);
+		expect(ends).toEqual([`displaced ${ErrorKind.QueueFull}`]);
+	});
+
+	it('serves late requests after all timely ones, the most urgent first', async () => {
+		createPlacer(twoPriorities);
+		await sendRequests([['late2', 2, 50], ['late0', 0, 60], ['timely2', 2, 1500], ['timely0', 0, 400]]);
+		for (let count = 0; count < 4; count++) {
+			freeSlots = 1;
+			placer.placeWaiting();
+			await vi.advanceTimersByTimeAsync(1);
+		}
+
+		expect(ends).toEqual(['timely0 placed', 'timely2 placed', 'late0 placed', 'late2 placed']);
+	});
+
+	it('gives a class that is never served a slot before more urgent ones', async () => {
+		createPlacer(twoPriorities);
+		await sendRequests([...fillers, ['c4', 2, 1600], ['urgent', 0, 400]]);
+		for (let count = 0; count < 2; count++) {
+			freeSlots = 1;
+			placer.placeWaiting();
+			await vi.advanceTimersByTimeAsync(1);
+		}
+
+		expect(ends).toEqual(['c1 placed', 'urgent placed']);
+	});
+
+	it('keeps order and refusals where the routes have one priority', async () => {
+		createPlacer([{priority: 2, objectiveMs: 1500}]);
+		await sendRequests([['late', 2, 50], ['b', 2, 700], ['a', 2, 600], ['c', 2, 800], ['refused', 2, 350]]);
+		for (let count = 0; count < 4; count++) {
+			freeSlots = 1;
+			placer.placeWaiting();
+			await vi.advanceTimersByTimeAsync(1);
+		}
+
+		expect(ends).toEqual([`refused ${ErrorKind.QueueFull}`, 'a placed', 'b placed', 'late placed', 'c placed']);
+	});
+});
--- a/src/controllers/gateway/service-placer.test.ts
+++ b/src/controllers/gateway/service-placer.test.ts
@@ -7,6 +7,7 @@
 import {RequestError} from '../../common/request-error.js';
 import {disabledMetrics} from '../../io/disabled-metrics.js';
 import type {PlacementRequest} from './placement-request.js';
+import {ServiceAdmission} from './service-admission.js';
 import {ServicePlacer} from './service-placer.js';
 import type {TargetChoice} from './target-choice.js';
 import type {TargetLease} from './target-lease.js';
@@ -52,7 +53,7 @@
 			grant: () => lease,
 		};
 		placer = new ServicePlacer({
-			pool: pool as unknown as TargetPool, clock: {now: () => now}, logger: silentLogger, metrics: disabledMetrics,
+			pool: pool as unknown as TargetPool, admission: new ServiceAdmission(() => 0), clock: {now: () => now}, logger: silentLogger, metrics: disabledMetrics,
 		});
 	});
 
--- a/src/controllers/gateway/service-placer.ts
+++ b/src/controllers/gateway/service-placer.ts
@@ -8,15 +8,18 @@
 import {reportTaskFailure} from '../../io/report-task-failure.js';
 import {runTask} from '../../io/run-task.js';
 import {canTakeSlot} from '../../policy/gateway/can-take-slot.js';
+import {findDisplaced} from '../../policy/gateway/find-displaced.js';
 import {minRetryAfterMs} from '../../policy/gateway/min-retry-after-ms.js';
 import {RequestQueue} from '../../policy/gateway/request-queue.js';
 import type {PlacementRequest} from './placement-request.js';
+import type {ServiceAdmission} from './service-admission.js';
 import type {TargetChoice} from './target-choice.js';
 import type {TargetLease} from './target-lease.js';
 import type {TargetPool} from './target-pool.js';
 
 type ServicePlacerOptions = {
 	readonly pool: TargetPool;
+	readonly admission: ServiceAdmission;
 	readonly clock: Clock;
 	readonly logger: Logger;
 	readonly metrics: Metrics;
@@ -25,6 +28,7 @@
 type Waiter = {
 	readonly request: PlacementRequest;
 	readonly objectiveAt: number;
+	readonly deadlineAt: number;
 	readonly priority: number;
 	/** Whether targets were probed for the request without finding an acceptable one. */
 	hasProbed: boolean;
@@ -57,6 +61,7 @@
 			return err(request.signal.reason as RequestError);
 		}
 
+		this._options.admission.noteArrival(request.priority);
 		const refusal = this._findRefusal(request);
 		if (refusal !== undefined) {
 			return err(refusal);
@@ -66,6 +71,7 @@
 			const waiter: Waiter = {
 				request,
 				objectiveAt: request.objectiveAt,
+				deadlineAt: request.deadlineAt,
 				priority: request.priority,
 				hasProbed: false,
 				isSettled: false,
@@ -81,15 +87,18 @@
 				waiter.settle(err(request.signal.reason as RequestError));
 			}, {once: true});
 			this._waiters.add(waiter);
+			this._refuseDisplaced(waiter);
 			this.placeWaiting();
 		});
 	}
 
-	/** Predicts the wait of a request that arrives now, in ms, from the rate at which this instance's requests free slots. */
-	predictWaitMs(): number {
+	/**
+	Predicts the wait of a request that arrives now, in ms, from the rate at which this instance's requests free slots.
+	@param priority - Priority of the request; less urgent ones that wait do not count.
+	*/
+	predictWaitMs(priority: number): number {
 		const {clock, pool} = this._options;
-		const {usualMs, meanMs} = pool.serviceTimes;
-		return this._waiters.countTimely(clock.now() + usualMs) * meanMs / Math.max(1, pool.inFlight);
+		return this._waiters.countTimely(clock.now() + pool.serviceTimes.usualMs, priority) * this._msPerSlot;
 	}
 
 	/** Takes a slot at an idle target without queueing, for a hedge; undefined when none is found or other requests wait. */
@@ -111,7 +120,7 @@
 			try {
 				const choice = pool.chooseFromReports(waiter.request);
 				if (choice !== undefined && this._isAcceptable(choice, waiter)) {
-					waiter.settle(ok(pool.grant(choice)));
+					this._grant(waiter, choice);
 				} else if (this._probingCount < maxProbingRequests && (!waiter.hasProbed || clock.now() >= this._recheckAt)) {
 					void this._placeWithProbes(waiter);
 				} else {
@@ -135,14 +144,28 @@
 		clearTimeout(this._timer);
 	}
 
+	/** Expected time between two slots that become free for the queue, in ms. */
+	private get _msPerSlot(): number {
+		const {pool} = this._options;
+		return pool.serviceTimes.meanMs / Math.max(1, pool.inFlight);
+	}
+
 	private _takeNext(): Waiter | undefined {
-		const {clock, pool} = this._options;
-		return this._waiters.take(clock.now() + pool.serviceTimes.usualMs);
+		const {clock, pool, admission} = this._options;
+		const earliestEnd = clock.now() + pool.serviceTimes.usualMs;
+		return admission.isActive ? this._waiters.takeByPriority(earliestEnd, admission.starvedPriority) : this._waiters.take(earliestEnd);
+	}
+
+	private _grant(waiter: Waiter, choice: TargetChoice): void {
+		const {pool, admission} = this._options;
+		admission.noteGrant(waiter.priority);
+		waiter.settle(ok(pool.grant(choice)));
 	}
 
 	/** Finds the reason for which a request has to be refused at once: no target is left, none accepts requests in time, or it would miss its objective behind the queued ones. Undefined when there is none. */
-	private _findRefusal({service, excludedTargets, objectiveAt, deadlineAt}: PlacementRequest): RequestError | undefined {
-		const {clock, pool} = this._options;
+	private _findRefusal(request: PlacementRequest): RequestError | undefined {
+		const {clock, pool, admission} = this._options;
+		const {service, excludedTargets, objectiveAt, deadlineAt, priority} = request;
 		if (pool.size === 0) {
 			return this._createNoTargetError(service);
 		}
@@ -157,13 +180,35 @@
 			return new RequestError(ErrorKind.NoTarget, detail, Number.isFinite(pauseMs) ? Math.max(minRetryAfterMs, pauseMs) : minRetryAfterMs);
 		}
 
-		const waitMs = this.predictWaitMs();
-		if (waitMs > 0 && clock.now() + waitMs > objectiveAt - pool.serviceTimes.usualMs) {
-			const detail = `${this._waiters.length} requests of service "${service}" are queued; the expected wait is ${Math.round(waitMs)} ms`;
-			return new RequestError(ErrorKind.QueueFull, detail, Math.max(minRetryAfterMs, waitMs));
+		const waitMs = admission.isEntitled(priority) ? 0 : this.predictWaitMs(priority);
+		return waitMs > 0 && clock.now() + waitMs > objectiveAt - pool.serviceTimes.usualMs ? this._createQueueError(request, waitMs) : undefined;
+	}
+
+	private _createQueueError({service, priority, deadlineAt}: PlacementRequest, waitMs: number): RequestError {
+		const {clock, admission, metrics} = this._options;
+		metrics.countEvent('admission.refused', {service, priority: String(priority)});
+		const detail = `${this._waiters.length} requests of service "${service}" are queued; the expected wait is ${Math.round(waitMs)} ms`;
+		return new RequestError(ErrorKind.QueueFull, detail, admission.computeRetryAfterMs({
+			now: clock.now(), waitMs, msPerSlot: this._msPerSlot, deadlineAt,
+		}));
+	}
+
+	/** Refuses the less urgent requests that can no longer be served in time behind an urgent one that has arrived. */
+	private _refuseDisplaced({priority, objectiveAt}: Waiter): void {
+		const {clock, pool, admission} = this._options;
+		const {usualMs} = pool.serviceTimes;
+		const now = clock.now();
+		if (!admission.isActive || objectiveAt < now + usualMs) {
+			return;
 		}
 
-		return undefined;
+		const displaced = findDisplaced(this._waiters.items, {
+			priority, now, usualMs, msPerSlot: this._msPerSlot,
+		});
+		for (const {item, waitMs} of displaced.filter(({item}) => !admission.isEntitled(item.priority))) {
+			this._waiters.remove(item);
+			item.settle(err(this._createQueueError(item.request, waitMs)));
+		}
 	}
 
 	private _createNoTargetError(service: string): RequestError {
@@ -214,7 +259,7 @@
 	}
 
 	private _finishProbes(waiter: Waiter, choice: TargetChoice | undefined): void {
-		const {clock, pool} = this._options;
+		const {clock} = this._options;
 		waiter.hasProbed = true;
 		if (waiter.isSettled) {
 			this.placeWaiting();
@@ -222,7 +267,7 @@
 		}
 
 		if (choice !== undefined && this._isAcceptable(choice, waiter)) {
-			waiter.settle(ok(pool.grant(choice)));
+			this._grant(waiter, choice);
 			this.placeWaiting();
 			return;
 		}
--- a/src/filters/gateway/retry-filter.ts
+++ b/src/filters/gateway/retry-filter.ts
@@ -57,7 +57,7 @@
 			result = await this._runAttempt(context, route);
 		}
 
-		return result.mapErr(error => this._addRetryAfter(error, context.service));
+		return result.mapErr(error => this._addRetryAfter(error, context.service, route.priority));
 	}
 
 	/** Runs the first attempt and, if an idempotent request takes long, a second one in parallel; the first success wins and cancels the other. */
@@ -162,9 +162,9 @@
 	}
 
 	/** A target's refusal says nothing of the others, so the caller may come back as soon as a slot is expected to be free. */
-	private _addRetryAfter(error: RequestError, service: string): RequestError {
+	private _addRetryAfter(error: RequestError, service: string, priority: number): RequestError {
 		return error.kind === ErrorKind.TargetRefused || error.kind === ErrorKind.ConnectFailed
-			? new RequestError(error.kind, error.detail, Math.max(minRefusedRetryAfterMs, this._options.placement.predictWaitMs(service)))
+			? new RequestError(error.kind, error.detail, Math.max(minRefusedRetryAfterMs, this._options.placement.predictWaitMs(service, priority)))
 			: error;
 	}
 }
--- a/src/policy/gateway/request-queue.ts
+++ b/src/policy/gateway/request-queue.ts
@@ -44,6 +44,11 @@
 		return matching;
 	}
 
+	/** The requests in the order of the queue, late ones not set apart. */
+	get items(): readonly T[] {
+		return this._items;
+	}
+
 	/** @param earliestEnd - Earliest time at which a request started now would end, in ms; requests with an objective before it are late. */
 	take(earliestEnd: number): T | undefined {
 		this._takenCount++;
@@ -57,11 +62,27 @@
 		return next;
 	}
 
+	/**
+	Takes the next request of a service whose routes have different priorities: late ones only when no timely one waits.
+	@param starvedPriority - Priority that goes first since it has got too few slots; undefined when there is none.
+	*/
+	takeByPriority(earliestEnd: number, starvedPriority: number | undefined): T | undefined {
+		const starved = this._items.filter(item => item.priority === starvedPriority);
+		const candidates = starved.length > 0 ? starved : this._items;
+		const next = candidates.find(item => item.objectiveAt >= earliestEnd) ?? candidates[0];
+		if (next !== undefined) {
+			this.remove(next);
+		}
+
+		return next;
+	}
+
 	/**
 	Counts the requests that can still meet their objective.
 	@param earliestEnd - Earliest time at which a request started now would end, in ms.
+	@param priority - Lowest priority that is counted.
 	*/
-	countTimely(earliestEnd: number): number {
-		return this._items.filter(item => item.objectiveAt >= earliestEnd).length;
+	countTimely(earliestEnd: number, priority: number): number {
+		return this._items.filter(item => item.priority <= priority && item.objectiveAt >= earliestEnd).length;
 	}
 }
