--- a/src/controllers/gateway/service-admission.ts
+++ b/src/controllers/gateway/service-admission.ts
@@ -67,7 +67,7 @@
 	canContend(contender: Contender, usualMs: number, now: number): boolean {
 		const level = this.updateLevel(now);
 		const rank = this._priorities.findIndex(({priority}) => priority === contender.priority);
-		return level === 0 || this.isEntitled(contender.priority) || canContend(
+		return level === 0 || this._floor.isStarved(contender.priority) || canContend(
 			{...contender, rank: rank === -1 ? this._priorities.length : rank},
 			{level, urgentRoomMs: Math.max(0, this._priorities[0]!.objectiveMs - usualMs), usualMs},
 			now,
@@ -76,6 +76,6 @@
 
 	/** Computes the retry-after time of a request that is refused because of its expected wait, in ms. */
 	computeRetryAfterMs(refusal: Refusal): number {
-		return this.isActive ? this._returns.schedule(refusal) : Math.max(minRetryAfterMs, refusal.waitMs);
+		return this.isActive ? this._returns.schedule({...refusal, waitMs: Math.max(refusal.waitMs, this._scarcity.computeFallMs())}) : Math.max(minRetryAfterMs, refusal.waitMs);
 	}
 }
--- a/src/policy/gateway/can-contend.ts
+++ b/src/policy/gateway/can-contend.ts
@@ -26,7 +26,7 @@
 
 /**
 Decides whether a request competes for a free slot yet. During a shortage a less urgent one lets others go first for as long as it can still
-meet its objective afterwards, and a late one rarely looks for a slot. Time spent competing decides how often a class is served, since slots are found at random.
+meet its objective afterwards, and a late one looks for a slot rarely or not at all. Time spent competing decides how often a class is served, since slots are found at random.
 */
 export const canContend = ({arrivedAt, lookedAt, objectiveAt, rank}: Contender, {level, urgentRoomMs, usualMs}: Conditions, now: number): boolean => {
 	const latestStartAt = objectiveAt - usualMs;
@@ -36,5 +36,7 @@
 
 	const roomMs = Math.max(0, latestStartAt - arrivedAt);
 	const windowMs = Math.min(roomMs, urgentRoomMs * (rankWindowFactor ** rank));
-	return rank === 0 || now >= arrivedAt + ((roomMs - windowMs) * level / maxScarcityLevel);
+	// Geometric steps: with linear ones a class with a distant objective would compete for much longer than the others below the highest level.
+	const competingMs = roomMs === 0 ? 0 : roomMs * ((windowMs / roomMs) ** (level / maxScarcityLevel));
+	return rank === 0 || now >= latestStartAt - competingMs;
 };
--- a/src/policy/gateway/scarcity-level.test.ts
+++ b/src/policy/gateway/scarcity-level.test.ts
@@ -46,6 +46,15 @@
 		expect(level.update(8100)).toBe(0);
 	});
 
+	it.each([
+		['no shortage', 0, 0],
+		['the worst shortage, step by step', 1, (maxScarcityLevel - 1) * 1000],
+	])('states when late requests find slots again after %s', (_name, failedShare, fallMs) => {
+		const level = new ScarcityLevel();
+		runLevel(level, {failedShare, looksPerSecond: 10}, 0, 5000);
+		expect(level.computeFallMs()).toBe(fallMs);
+	});
+
 	it('settles under a constant load', () => {
 		fc.assert(fc.property(fc.double({min: 0, max: 1, noNaN: true}), fc.double({min: 1, max: 50, noNaN: true}), (failedShare, looksPerSecond) => {
 			const settled = runLevel(new ScarcityLevel(), {failedShare, looksPerSecond}, 0, 40_000).slice(10_000 / updateMs);
--- a/src/policy/gateway/scarcity-level.ts
+++ b/src/policy/gateway/scarcity-level.ts
@@ -12,6 +12,8 @@
 const riseIntervalMs = 250;
 /** Time for which the share has to stay low before a step down, in ms. */
 const fallIntervalMs = 1000;
+/** Level at which late requests still look for slots regularly. */
+const slightLevel = 1;
 /** Time without looks after which the level is 0, in ms, since nothing is known then. */
 const idleMs = 5000;
 
@@ -62,6 +64,11 @@
 		return this._level;
 	}
 
+	/** Computes the time until late requests regularly find a slot again if the shortage ends now, in ms. */
+	computeFallMs(): number {
+		return Math.max(0, this._level - slightLevel) * fallIntervalMs;
+	}
+
 	private _step(change: number, now: number): void {
 		this._level += change;
 		this._steppedAt = now;
