--- a/src/controllers/gateway/placement-controller.ts
+++ b/src/controllers/gateway/placement-controller.ts
@@ -16,7 +16,9 @@
 import type {HedgeCapacity} from '../../policy/gateway/hedge-capacity.js';
 import {minRetryAfterMs} from '../../policy/gateway/min-retry-after-ms.js';
 import {RetryBudget} from '../../policy/gateway/retry-budget.js';
+import {listServicePriorities} from '../../policy/gateway/list-service-priorities.js';
 import type {PlacementRequest} from './placement-request.js';
+import {ServiceAdmission} from './service-admission.js';
 import {ServicePlacer} from './service-placer.js';
 import type {SiteView} from './site-view.js';
 import type {TargetLease} from './target-lease.js';
@@ -40,6 +42,7 @@
 type ServiceState = {
 	readonly pool: TargetPool;
 	readonly placer: ServicePlacer;
+	readonly admission: ServiceAdmission;
 	readonly retryBudget: RetryBudget;
 	/** The targets of the service in the last list. */
 	targets: readonly GatewayTarget[];
@@ -80,8 +83,8 @@
 	}
 
 	/** Predicts the wait of a new request of the service for a slot, in ms. */
-	predictWaitMs(service: string): number {
-		return this._services.get(service)?.placer.predictWaitMs() ?? 0;
+	predictWaitMs(service: string, priority: number): number {
+		return this._services.get(service)?.placer.predictWaitMs(priority) ?? 0;
 	}
 
 	/** Returns the expected duration of a request at an idle target, in ms. */
@@ -116,8 +119,9 @@
 	/** Records the current queue length, requests in flight, usual duration and remaining retries of each service. */
 	recordGauges(): void {
 		const {metrics, clock} = this._options;
-		for (const [service, {placer, pool, retryBudget}] of this._services) {
+		for (const [service, {placer, admission, pool, retryBudget}] of this._services) {
 			metrics.recordGauge('queue.waiting', placer.waitingCount, {service});
+			metrics.recordGauge('admission.level', admission.updateLevel(clock.now()), {service});
 			metrics.recordGauge('target.in_flight', pool.inFlight, {service});
 			metrics.recordGauge('target.paused', pool.pausedCount, {service});
 			metrics.recordGauge('target.cold', pool.coldCount, {service});
@@ -158,6 +162,7 @@
 			const state = this._services.get(service.name) ?? this._createService(service);
 			this._services.set(service.name, state);
 			state.pool.setService(service);
+			state.admission.setPriorities(listServicePriorities(view.configuration?.routes ?? [], service.name));
 			const targets = targetsByService.get(service.name) ?? [];
 			// Most changes concern few services, and an update costs time for each target.
 			if (targets.length !== state.targets.length || targets.some((target, index) => target !== state.targets[index])) {
@@ -191,12 +196,14 @@
 				view.noteLeaving([target], 'response');
 			},
 		});
+		const admission = new ServiceAdmission(random);
 		const placer = new ServicePlacer({
-			pool, clock, logger, metrics,
+			pool, admission, clock, logger, metrics,
 		});
 		return {
 			pool,
 			placer,
+			admission,
 			targets: [],
 			retryBudget: new RetryBudget({ratio: limits.retryRatio * retryRatioShare, getSlack: () => share.divideWindowLimit(limits.retrySlack), windowMs: limits.retryWindowMs}),
 		};
--- a/src/controllers/gateway/service-placer.ts
+++ b/src/controllers/gateway/service-placer.ts
@@ -8,30 +8,24 @@
 import {reportTaskFailure} from '../../io/report-task-failure.js';
 import {runTask} from '../../io/run-task.js';
 import {canTakeSlot} from '../../policy/gateway/can-take-slot.js';
+import {findDisplaced} from '../../policy/gateway/find-displaced.js';
 import {minRetryAfterMs} from '../../policy/gateway/min-retry-after-ms.js';
 import {RequestQueue} from '../../policy/gateway/request-queue.js';
 import type {PlacementRequest} from './placement-request.js';
+import type {PlacementWaiter} from './placement-waiter.js';
+import type {ServiceAdmission} from './service-admission.js';
 import type {TargetChoice} from './target-choice.js';
 import type {TargetLease} from './target-lease.js';
 import type {TargetPool} from './target-pool.js';
 
 type ServicePlacerOptions = {
 	readonly pool: TargetPool;
+	readonly admission: ServiceAdmission;
 	readonly clock: Clock;
 	readonly logger: Logger;
 	readonly metrics: Metrics;
 };
 
-type Waiter = {
-	readonly request: PlacementRequest;
-	readonly objectiveAt: number;
-	readonly priority: number;
-	/** Whether targets were probed for the request without finding an acceptable one. */
-	hasProbed: boolean;
-	isSettled: boolean;
-	settle(result: Result<TargetLease, RequestError>): void;
-};
-
 /** Time after which targets are chosen again for waiting requests if no slot has been freed before, in ms. */
 const recheckDelayMs = 25;
 /** Requests for which targets may be probed at the same time. */
@@ -39,7 +33,7 @@
 
 /** Places the requests of one service at its targets: by recent load reports, else with probes. Queues requests while no target is acceptable. */
 export class ServicePlacer implements DisposableLike {
-	private readonly _waiters = new RequestQueue<Waiter>();
+	private readonly _waiters = new RequestQueue<PlacementWaiter>();
 	private _probingCount = 0;
 	/** Requests for which targets are probed again. */
 	private _reprobingCount = 0;
@@ -64,16 +58,20 @@
 			return err(request.signal.reason as RequestError);
 		}
 
+		this._options.admission.noteArrival(request.priority);
 		const refusal = this._findRefusal(request);
 		if (refusal !== undefined) {
 			return err(refusal);
 		}
 
 		return new Promise(resolve => {
-			const waiter: Waiter = {
+			const waiter: PlacementWaiter = {
 				request,
 				objectiveAt: request.objectiveAt,
+				deadlineAt: request.deadlineAt,
 				priority: request.priority,
+				arrivedAt: this._options.clock.now(),
+				lookedAt: Number.NEGATIVE_INFINITY,
 				hasProbed: false,
 				isSettled: false,
 				settle(result) {
@@ -88,15 +86,18 @@
 				waiter.settle(err(request.signal.reason as RequestError));
 			}, {once: true});
 			this._waiters.add(waiter);
+			this._refuseDisplaced(waiter);
 			this.placeWaiting();
 		});
 	}
 
-	/** Predicts the wait of a request that arrives now, in ms, from the rate at which this instance's requests free slots. */
-	predictWaitMs(): number {
+	/**
+	Predicts the wait of a request that arrives now, in ms, from the rate at which this instance's requests free slots.
+	@param priority - Priority of the request; less urgent ones that wait do not count.
+	*/
+	predictWaitMs(priority: number): number {
 		const {clock, pool} = this._options;
-		const {usualMs, meanMs} = pool.serviceTimes;
-		return this._waiters.countTimely(clock.now() + usualMs) * meanMs / Math.max(1, pool.inFlight);
+		return this._waiters.countTimely(clock.now() + pool.serviceTimes.usualMs, priority) * this._msPerSlot;
 	}
 
 	/** Takes a slot at an idle target without queueing, for a hedge; undefined when none is found or other requests wait. */
@@ -111,14 +112,19 @@
 
 	/** Places waiting requests by recent load reports and starts probes for those that cannot be placed by them. Refuses those that can no longer be completed in time. */
 	placeWaiting(): void {
-		const {clock, pool} = this._options;
+		const {clock, pool, admission} = this._options;
 		this._refuseHopeless();
-		const unplaced: Waiter[] = [];
+		const unplaced: PlacementWaiter[] = [];
 		for (let waiter = this._takeNext(); waiter !== undefined; waiter = this._takeNext()) {
 			try {
+				if (!admission.canContend(waiter, pool.serviceTimes.usualMs, clock.now())) {
+					unplaced.push(waiter);
+					continue;
+				}
+
 				const choice = pool.chooseFromReports(waiter.request);
 				if (choice !== undefined && this._isAcceptable(choice, waiter)) {
-					waiter.settle(ok(pool.grant(choice)));
+					this._grant(waiter, choice);
 				} else if (this._probingCount < maxProbingRequests && (!waiter.hasProbed || clock.now() >= this._recheckAt)) {
 					void this._placeWithProbes(waiter);
 				} else {
@@ -142,14 +148,28 @@
 		clearTimeout(this._timer);
 	}
 
-	private _takeNext(): Waiter | undefined {
-		const {clock, pool} = this._options;
-		return this._waiters.take(clock.now() + pool.serviceTimes.usualMs);
+	/** Expected time between two slots that become free for the queue, in ms. */
+	private get _msPerSlot(): number {
+		const {pool} = this._options;
+		return pool.serviceTimes.meanMs / Math.max(1, pool.inFlight);
+	}
+
+	private _takeNext(): PlacementWaiter | undefined {
+		const {clock, pool, admission} = this._options;
+		const earliestEnd = clock.now() + pool.serviceTimes.usualMs;
+		return admission.isActive ? this._waiters.takeByPriority(earliestEnd, admission.starvedPriority) : this._waiters.take(earliestEnd);
+	}
+
+	private _grant(waiter: PlacementWaiter, choice: TargetChoice): void {
+		const {pool, admission} = this._options;
+		admission.noteGrant(waiter.priority);
+		waiter.settle(ok(pool.grant(choice)));
 	}
 
 	/** Finds the reason for which a request has to be refused at once: no target is left, none accepts requests in time, or it would miss its objective behind the queued ones. Undefined when there is none. */
-	private _findRefusal({service, excludedTargets, objectiveAt, deadlineAt}: PlacementRequest): RequestError | undefined {
-		const {clock, pool} = this._options;
+	private _findRefusal(request: PlacementRequest): RequestError | undefined {
+		const {clock, pool, admission} = this._options;
+		const {service, excludedTargets, objectiveAt, deadlineAt, priority} = request;
 		if (pool.size === 0) {
 			return this._createNoTargetError(service);
 		}
@@ -164,13 +184,35 @@
 			return new RequestError(ErrorKind.NoTarget, detail, Number.isFinite(pauseMs) ? Math.max(minRetryAfterMs, pauseMs) : minRetryAfterMs);
 		}
 
-		const waitMs = Math.max(this.predictWaitMs(), pool.computePermitWaitMs(excludedTargets, this._waiters.length));
-		if (waitMs > 0 && clock.now() + waitMs > objectiveAt - pool.serviceTimes.usualMs) {
-			const detail = `${this._waiters.length} requests of service "${service}" are queued; the expected wait is ${Math.round(waitMs)} ms`;
-			return new RequestError(ErrorKind.QueueFull, detail, Math.max(minRetryAfterMs, waitMs));
+		const waitMs = Math.max(admission.isEntitled(priority) ? 0 : this.predictWaitMs(priority), pool.computePermitWaitMs(excludedTargets, this._waiters.length));
+		return waitMs > 0 && clock.now() + waitMs > objectiveAt - pool.serviceTimes.usualMs ? this._createQueueError(request, waitMs) : undefined;
+	}
+
+	private _createQueueError({service, priority, deadlineAt}: PlacementRequest, waitMs: number): RequestError {
+		const {clock, admission, metrics} = this._options;
+		metrics.countEvent('admission.refused', {service, priority: String(priority)});
+		const detail = `${this._waiters.length} requests of service "${service}" are queued; the expected wait is ${Math.round(waitMs)} ms`;
+		return new RequestError(ErrorKind.QueueFull, detail, admission.computeRetryAfterMs({
+			now: clock.now(), waitMs, msPerSlot: this._msPerSlot, deadlineAt,
+		}));
+	}
+
+	/** Refuses the less urgent requests that can no longer be served in time behind an urgent one that has arrived. */
+	private _refuseDisplaced({priority, objectiveAt}: PlacementWaiter): void {
+		const {clock, pool, admission} = this._options;
+		const {usualMs} = pool.serviceTimes;
+		const now = clock.now();
+		if (!admission.isActive || objectiveAt < now + usualMs) {
+			return;
 		}
 
-		return undefined;
+		const displaced = findDisplaced(this._waiters.items, {
+			priority, now, usualMs, msPerSlot: this._msPerSlot, lookingCount: maxProbingRequests,
+		});
+		for (const {item, waitMs} of displaced.filter(({item}) => !admission.isEntitled(item.priority))) {
+			this._waiters.remove(item);
+			item.settle(err(this._createQueueError(item.request, waitMs)));
+		}
 	}
 
 	private _createNoTargetError(service: string): RequestError {
@@ -200,7 +242,7 @@
 		}
 	}
 
-	private _isAcceptable(choice: TargetChoice, {request, hasProbed}: Waiter): boolean {
+	private _isAcceptable(choice: TargetChoice, {request, hasProbed}: PlacementWaiter): boolean {
 		const {clock, pool} = this._options;
 		// Without probes, a better target may be unknown, so only an idle one is accepted.
 		return choice.isIdle || (hasProbed && canTakeSlot({
@@ -208,11 +250,12 @@
 		}, clock.now()));
 	}
 
-	private async _placeWithProbes(waiter: Waiter): Promise<void> {
+	private async _placeWithProbes(waiter: PlacementWaiter): Promise<void> {
 		let choice: TargetChoice | undefined;
 		const reprobing = waiter.hasProbed ? 1 : 0;
 		this._probingCount++;
 		this._reprobingCount += reprobing;
+		waiter.lookedAt = this._options.clock.now();
 		try {
 			choice = await this._options.pool.chooseWithProbes(waiter.request);
 		} catch (error) {
@@ -228,16 +271,22 @@
 		}
 	}
 
-	private _finishProbes(waiter: Waiter, choice: TargetChoice | undefined): void {
-		const {clock, pool} = this._options;
+	private _finishProbes(waiter: PlacementWaiter, choice: TargetChoice | undefined): void {
+		const {clock, admission} = this._options;
+		const isFirstLook = !waiter.hasProbed;
 		waiter.hasProbed = true;
 		if (waiter.isSettled) {
 			this.placeWaiting();
 			return;
 		}
 
-		if (choice !== undefined && this._isAcceptable(choice, waiter)) {
-			waiter.settle(ok(pool.grant(choice)));
+		const isFound = choice !== undefined && this._isAcceptable(choice, waiter);
+		if (isFirstLook) {
+			admission.noteLook(isFound, clock.now());
+		}
+
+		if (isFound) {
+			this._grant(waiter, choice);
 			this.placeWaiting();
 			return;
 		}
@@ -248,7 +297,7 @@
 	}
 
 	/** Refuses a request whose placement ended by an exception, so that it does not wait for its deadline. */
-	private _failWaiter(task: string, waiter: Waiter, error: unknown): void {
+	private _failWaiter(task: string, waiter: PlacementWaiter, error: unknown): void {
 		reportTaskFailure(this._options, task, error);
 		waiter.settle(err(new RequestError(ErrorKind.InternalQueued, 'no target could be chosen')));
 	}
