--- a/src/controllers/gateway/placement-contention.test.ts
+++ b/src/controllers/gateway/placement-contention.test.ts
@@ -131,7 +131,7 @@
 		}));
 	};
 
-	it.each([1.1, 1.3, 2])('serve urgent requests at least as often and as soon as others at %f of their capacity, and starve none', async load => {
+	it.each([1, 1.1, 1.3, 2])('serve urgent requests at least as often and as soon as others at %f of their capacity, and starve none', async load => {
 		const runs: Array<Awaited<ReturnType<typeof run>>> = [];
 		for (const seed of seeds) {
 			runs.push(await run([urgent, ordinary, upload], load, seed));
