--- a/src/controllers/gateway/placement-contention.test.ts
+++ b/src/controllers/gateway/placement-contention.test.ts
@@ -67,6 +67,7 @@
 				size: targetCount,
 				isExhausted: () => false,
 				computePauseMs: () => 0,
+				computePermitWaitMs: () => 0,
 				chooseFromReports: () => undefined,
 				async chooseWithProbes({priority}: PlacementRequest) {
 					await new Promise(resolve => {
--- a/src/controllers/gateway/service-placer-priorities.test.ts
+++ b/src/controllers/gateway/service-placer-priorities.test.ts
@@ -40,6 +40,7 @@
 			size: 1,
 			isExhausted: () => false,
 			computePauseMs: () => 0,
+			computePermitWaitMs: () => 0,
 			chooseFromReports: choose,
 			chooseWithProbes: async () => choose(),
 			grant() {
