--- a/src/controllers/gateway/service-placer.ts
+++ b/src/controllers/gateway/service-placer.ts
@@ -11,6 +11,7 @@
 import {findDisplaced} from '../../policy/gateway/find-displaced.js';
 import {minRetryAfterMs} from '../../policy/gateway/min-retry-after-ms.js';
 import {RequestQueue} from '../../policy/gateway/request-queue.js';
+import {PlacementRefusals} from './placement-refusals.js';
 import type {PlacementRequest} from './placement-request.js';
 import type {PlacementWaiter} from './placement-waiter.js';
 import type {ServiceAdmission} from './service-admission.js';
@@ -39,8 +40,11 @@
 	private _reprobingCount = 0;
 	private _recheckAt = Number.NEGATIVE_INFINITY;
 	private _timer: NodeJS.Timeout | undefined;
+	private readonly _refusals: PlacementRefusals;
 
-	constructor(private readonly _options: ServicePlacerOptions) {}
+	constructor(private readonly _options: ServicePlacerOptions) {
+		this._refusals = new PlacementRefusals(_options);
+	}
 
 	/** Number of requests that wait for a slot. */
 	get waitingCount(): number {
@@ -59,7 +63,7 @@
 		}
 
 		this._options.admission.noteArrival(request.priority);
-		const refusal = this._findRefusal(request);
+		const refusal = this._refusals.findRefusal(request, this._describeQueue(this.predictWaitMs(request.priority)));
 		if (refusal !== undefined) {
 			return err(refusal);
 		}
@@ -154,6 +158,10 @@
 		return pool.serviceTimes.meanMs / Math.max(1, pool.inFlight);
 	}
 
+	private _describeQueue(waitMs: number) {
+		return {length: this._waiters.length, msPerSlot: this._msPerSlot, waitMs};
+	}
+
 	private _takeNext(): PlacementWaiter | undefined {
 		const {clock, pool, admission} = this._options;
 		const earliestEnd = clock.now() + pool.serviceTimes.usualMs;
@@ -166,37 +174,6 @@
 		waiter.settle(ok(pool.grant(choice)));
 	}
 
-	/** Finds the reason for which a request has to be refused at once: no target is left, none accepts requests in time, or it would miss its objective behind the queued ones. Undefined when there is none. */
-	private _findRefusal(request: PlacementRequest): RequestError | undefined {
-		const {clock, pool, admission} = this._options;
-		const {service, excludedTargets, objectiveAt, deadlineAt, priority} = request;
-		if (pool.size === 0) {
-			return this._createNoTargetError(service);
-		}
-
-		if (pool.isExhausted(excludedTargets)) {
-			return new RequestError(ErrorKind.NoTarget, `each of the ${pool.size} targets of service "${service}" was tried`, minRetryAfterMs);
-		}
-
-		const pauseMs = pool.computePauseMs(excludedTargets);
-		if (pauseMs > 0 && clock.now() + pauseMs + pool.serviceTimes.usualMs > deadlineAt) {
-			const detail = `all targets of service "${service}" accept no requests${Number.isFinite(pauseMs) ? ` for ${Math.round(pauseMs)} ms` : ''}`;
-			return new RequestError(ErrorKind.NoTarget, detail, Number.isFinite(pauseMs) ? Math.max(minRetryAfterMs, pauseMs) : minRetryAfterMs);
-		}
-
-		const waitMs = Math.max(admission.isEntitled(priority) ? 0 : this.predictWaitMs(priority), pool.computePermitWaitMs(excludedTargets, this._waiters.length));
-		return waitMs > 0 && clock.now() + waitMs > objectiveAt - pool.serviceTimes.usualMs ? this._createQueueError(request, waitMs) : undefined;
-	}
-
-	private _createQueueError({service, priority, deadlineAt}: PlacementRequest, waitMs: number): RequestError {
-		const {clock, admission, metrics} = this._options;
-		metrics.countEvent('admission.refused', {service, priority: String(priority)});
-		const detail = `${this._waiters.length} requests of service "${service}" are queued; the expected wait is ${Math.round(waitMs)} ms`;
-		return new RequestError(ErrorKind.QueueFull, detail, admission.computeRetryAfterMs({
-			now: clock.now(), waitMs, msPerSlot: this._msPerSlot, deadlineAt,
-		}));
-	}
-
 	/** Refuses the less urgent requests that can no longer be served in time behind an urgent one that has arrived. */
 	private _refuseDisplaced({priority, objectiveAt}: PlacementWaiter): void {
 		const {clock, pool, admission} = this._options;
@@ -211,14 +188,10 @@
 		});
 		for (const {item, waitMs} of displaced.filter(({item}) => !admission.isEntitled(item.priority))) {
 			this._waiters.remove(item);
-			item.settle(err(this._createQueueError(item.request, waitMs)));
+			item.settle(err(this._refusals.createQueueError(item.request, this._describeQueue(waitMs))));
 		}
 	}
 
-	private _createNoTargetError(service: string): RequestError {
-		return new RequestError(ErrorKind.NoTarget, `service "${service}" has no target`, minRetryAfterMs);
-	}
-
 	/**
 	Refuses the waiting requests that even an idle target is not expected to complete before their deadline, or all when no target is
 	left, so that callers can use the time that they have left. A request for which no target was looked for yet is kept: otherwise a usual time above the timeouts would never be corrected.
@@ -227,13 +200,14 @@
 		const {clock, pool} = this._options;
 		if (pool.size === 0) {
 			for (const waiter of this._waiters.takeMatching(() => true)) {
-				waiter.settle(err(this._createNoTargetError(waiter.request.service)));
+				waiter.settle(err(this._refusals.createNoTargetError(waiter.request.service)));
 			}
 		}
 
 		const areAllBlocked = pool.computePauseMs([]) === Number.POSITIVE_INFINITY;
-		for (const {request, settle} of this._waiters.takeMatching(({request: {excludedTargets}}) => excludedTargets.length === 0 ? areAllBlocked : pool.computePauseMs(excludedTargets) === Number.POSITIVE_INFINITY)) {
-			settle(err(new RequestError(ErrorKind.NoTarget, `all targets of service "${request.service}" accept no requests`, minRetryAfterMs)));
+		const isBlocked = ({request: {excludedTargets}}: PlacementWaiter): boolean => excludedTargets.length === 0 ? areAllBlocked : pool.computePauseMs(excludedTargets) === Number.POSITIVE_INFINITY;
+		for (const {request, settle} of this._waiters.takeMatching(waiter => isBlocked(waiter))) {
+			settle(err(this._refusals.createBlockedError(request.service, Number.POSITIVE_INFINITY)));
 		}
 
 		const earliestEnd = clock.now() + pool.serviceTimes.usualMs;
