Give an empty set of evacuations a revision of the registry's present count

The read of a store without evacuations took the revision of the held set when that was higher. After a restoration without an era, that was the revision of before: the registry never confirmed it, and the reader read the evacuations again after each wait, without end.

--- a/src/common/gateway/site-registry.ts
+++ b/src/common/gateway/site-registry.ts
@@ -1,5 +1,4 @@
 import type {Result} from 'neverthrow';
-import type {StorePosition} from './store-position.js';
 import type {EvacuationList} from './evacuation-list.js';
 import type {GatewayConfiguration} from './gateway-configuration.js';
 import type {OperatorChanges} from './operator-changes.js';
@@ -11,11 +10,8 @@
 export type SiteRegistry = {
 	/** Reads the newest configuration; undefined when none exists yet. */
 	readConfiguration(): Promise<Result<GatewayConfiguration | undefined, RegistryError>>;
-	/**
-	Reads which failure domains are evacuated.
-	@param held - State of the registry in which the held set was read; a read can only see a later one.
-	*/
-	readEvacuations(held: StorePosition): Promise<Result<EvacuationList, RegistryError>>;
+	/** Reads which failure domains are evacuated. */
+	readEvacuations(): Promise<Result<EvacuationList, RegistryError>>;
 	/** Resolves once the configuration or the evacuations have changed since they were last read or awaited, or without changes when the wait times out. */
 	waitForChange(): Promise<Result<OperatorChanges, RegistryError>>;
 	/** Resolves with the changes of the targets since the last read or wait, without any when the wait times out. */
--- a/src/controllers/gateway/operator-reader.ts
+++ b/src/controllers/gateway/operator-reader.ts
@@ -160,7 +160,7 @@
 		const {source, view, clock, logger} = this._options;
 		const startedAt = clock.now();
 		const held = view.operator.evacuationOrder;
-		const read = await source.readEvacuations(held);
+		const read = await source.readEvacuations();
 		this._countRead('evacuations', read);
 		this._canReadEvacuations = read.isOk();
 		if (read.isErr()) {
