--- a/src/controllers/gateway/target-pool.ts
+++ b/src/controllers/gateway/target-pool.ts
@@ -109,12 +109,7 @@
 
 	/** Requests of this instance that are in flight at targets. */
 	get inFlight(): number {
-		let sum = 0;
-		for (const {record} of this._pooledTargets.values()) {
-			sum += record.inFlight;
-		}
-
-		return sum;
+		return [...this._pooledTargets.values()].reduce((sum, {record}) => sum + record.inFlight, 0);
 	}
 
 	/** Applies a changed health path or limit of the service. */
