Bound what clients make a gateway hold, over all listeners

When one is short, connections without progress are closed, the one that holds most first; without any, the newcomer is refused (503, not run) or closed. Requests in progress on a connection and the bytes of a body that are dropped after its response are bounded. A request with 500 fields or more closes its connection after the response. The budget shrinks while much memory is resident, since released buffers are returned late. Bodies are no longer merged, and a response of declared length is collected in one block.

--- a/src/bin/caller-listener.ts
+++ b/src/bin/caller-listener.ts
@@ -7,6 +7,7 @@
 import type {GatewayLimits} from '../common/gateway/gateway-limits.js';
 import type {Logger} from '../common/logger.js';
 import type {CallerConnections} from '../controllers/caller-connections.js';
+import type {ClientConnections} from '../controllers/gateway/client-connections.js';
 import type {IntakeController} from '../controllers/gateway/intake-controller.js';
 import type {PauseWatch} from '../controllers/pause-watch.js';
 import type {SocketReadTracker} from '../controllers/socket-read-tracker.js';
@@ -17,6 +18,7 @@
 type CallerListenerOptions = {
 	readonly chain: Pick<FilterChain<GatewayContext, BufferedResponse>, 'run'>;
 	readonly connections: CallerConnections;
+	readonly clients: Pick<ClientConnections, 'admit'>;
 	readonly intake: Pick<IntakeController, 'noteConnection'>;
 	readonly pauseWatch: Pick<PauseWatch, 'estimateArrival'>;
 	readonly readTracker: Pick<SocketReadTracker, 'recordRead'>;
@@ -38,6 +40,8 @@
 			this._handleRequest(request, response);
 		}, _options.logger);
 		const {server} = this.listener;
+		// Headers are limited by size and by the memory of all clients; with a limit on their number, Node.js would silently drop the excess ones.
+		server.maxHeadersCount = 0;
 		server.on('connection', () => {
 			intake.noteConnection();
 		});
@@ -72,7 +76,11 @@
 	}
 
 	private _handleRequest(request: IncomingMessage, response: ServerResponse): void {
-		const {chain, connections, pauseWatch, readTracker, requestIdHeader} = this._options;
+		const {chain, connections, clients, pauseWatch, readTracker, requestIdHeader} = this._options;
+		if (!clients.admit(request, response)) {
+			return;
+		}
+
 		const id = request.headers[requestIdHeader];
 		const arrival = {receivedAt: pauseWatch.estimateArrival(), readAt: readTracker.recordRead()};
 		const context = new GatewayContext(request, response, arrival, typeof id === 'string' ? id : undefined);
--- a/src/bin/create-gateway-chain.ts
+++ b/src/bin/create-gateway-chain.ts
@@ -3,6 +3,7 @@
 import type {SiteInterface} from '../common/gateway/site-interface.js';
 import type {Logger} from '../common/logger.js';
 import type {CallerConnections} from '../controllers/caller-connections.js';
+import type {ClientConnections} from '../controllers/gateway/client-connections.js';
 import type {IntakeController} from '../controllers/gateway/intake-controller.js';
 import type {PlacementController} from '../controllers/gateway/placement-controller.js';
 import type {SiteView} from '../controllers/gateway/site-view.js';
@@ -30,7 +31,6 @@
 import {RateLimitedLogger} from '../io/gateway/rate-limited-logger.js';
 import type {ScrapedMetrics} from '../io/gateway/scraped-metrics.js';
 import {systemClock} from '../io/system-clock.js';
-import type {HeldBytes} from '../policy/gateway/held-bytes.js';
 import type {ResponseMemory} from '../policy/gateway/response-memory.js';
 
 type GatewayChainOptions = {
@@ -46,8 +46,7 @@
 	readonly intake: IntakeController;
 	readonly placement: PlacementController;
 	readonly readTracker: SocketReadTracker;
-	/** Limits the bodies that all requests in progress hold together. */
-	readonly bodyMemory: HeldBytes;
+	readonly clients: ClientConnections;
 	readonly responseMemory: ResponseMemory;
 };
 
@@ -56,7 +55,7 @@
 
 /** Creates the chain of filters that every request of a gateway's callers passes. */
 export const createGatewayChain = (options: GatewayChainOptions): FilterChain<GatewayContext, BufferedResponse> => {
-	const {site, view, logger, notableLogger, metrics, connections, shutdown, intake, placement, readTracker, bodyMemory, responseMemory} = options;
+	const {site, view, logger, notableLogger, metrics, connections, shutdown, intake, placement, readTracker, clients, responseMemory} = options;
 	const callerCheck = new CallerCheck({readTracker, clock: systemClock});
 	return new FilterChain<GatewayContext, BufferedResponse>([
 		new ShutdownFilter({shutdown, connections}),
@@ -74,7 +73,7 @@
 		new RouteFilter(view, Math.random),
 		new TimeLimitFilter({clock: systemClock, callerWatch: new CallerWatch(), timeoutHeader: site.headers.timeoutMs}),
 		new RefuseDuringShutdownFilter<GatewayContext, BufferedResponse>({shutdown, isIdempotent: ({route}) => route?.isIdempotent ?? false}),
-		new BodyFilter({view, heldBytes: bodyMemory}),
+		new BodyFilter({view, clients}),
 		new IntakeFilter(intake),
 		new RetryFilter({
 			placement,
--- a/src/bin/gateway-daemon.ts
+++ b/src/bin/gateway-daemon.ts
@@ -7,6 +7,7 @@
 import type {BufferedResponse} from '../common/gateway/buffered-response.js';
 import type {Logger} from '../common/logger.js';
 import {CallerConnections} from '../controllers/caller-connections.js';
+import {ClientConnections} from '../controllers/gateway/client-connections.js';
 import {EntryController} from '../controllers/gateway/entry-controller.js';
 import {IntakeController} from '../controllers/gateway/intake-controller.js';
 import {MemberController} from '../controllers/gateway/member-controller.js';
@@ -21,13 +22,15 @@
 import type {GatewayContext} from '../filters/gateway/gateway-context.js';
 import {RateLimitedLogger} from '../io/gateway/rate-limited-logger.js';
 import {ByteMeter} from '../io/gateway/byte-meter.js';
+import {ResidentMemory} from '../io/gateway/resident-memory.js';
 import {ScrapedMetrics} from '../io/gateway/scraped-metrics.js';
 import {SyncClient} from '../io/gateway/sync-client.js';
 import {systemClock} from '../io/system-clock.js';
 import {addressTtlMs} from '../policy/gateway/address-ttl-ms.js';
 import {FleetShare} from '../policy/gateway/fleet-share.js';
 import {ResponseMemory} from '../policy/gateway/response-memory.js';
-import {HeldBytes} from '../policy/gateway/held-bytes.js';
+import {computeResponseLimit} from '../policy/gateway/compute-response-limit.js';
+import {computeClientLimits} from '../policy/gateway/compute-client-limits.js';
 import {CallerListener} from './caller-listener.js';
 import {createGatewayChain} from './create-gateway-chain.js';
 import {GatewayEndpoints} from './gateway-endpoints.js';
@@ -42,8 +45,6 @@
 
 /** Log lines per second for requests that failed, were refused or took more than one attempt; each line occupies the event loop for 0.1 ms. */
 const notableLinesPerSecond = 50;
-/** The bodies of all requests in progress, and the responses to them, may each take the memory limit divided by this, beside heap and sockets. */
-const bodyMemoryDivisor = 8;
 const msPerSecond = 1000;
 /** Time left in a graceful shutdown after the last responses are flushed, in ms: for notifying the peers and for timers that fire late under load. */
 const stopReserveMs = 300;
@@ -70,6 +71,7 @@
 	private readonly _connections = new CallerConnections(maxHeaderSize);
 	private readonly _callerListener: CallerListener;
 	private readonly _responseMemory: ResponseMemory;
+	private readonly _clients: ClientConnections;
 	private readonly _listeners: GatewayListeners;
 	private _isStarted = false;
 	private _isStopping = false;
@@ -143,14 +145,21 @@
 		}));
 		this._intake = this._store.add(new IntakeController({clock: systemClock, random: Math.random, metrics: this._metrics}));
 		this._responseMemory = new ResponseMemory({
-			limitBytes: settings.limits.memoryBytes / bodyMemoryDivisor,
+			getLimitBytes: () => computeResponseLimit(settings.limits.memoryBytes, this._responseMemory.heldBytes + this._clients.freeBytes),
 			clock: systemClock,
 			onEvicted: bytes => {
 				this._metrics.countEvent('response.evicted', {});
 				this._notableLogger.logError('response-evicted', {bytes, heldBytes: this._responseMemory.heldBytes});
 			},
 		});
-		const bodyMemory = new HeldBytes(settings.limits.memoryBytes / bodyMemoryDivisor);
+		this._clients = this._store.add(new ClientConnections({
+			limits: computeClientLimits(settings.limits),
+			processLimitBytes: settings.limits.memoryBytes,
+			residentMemory: new ResidentMemory(systemClock),
+			countOtherBytes: () => this._responseMemory.heldBytes + this._listeners.heldBytes,
+			metrics: this._metrics,
+			logger: this._notableLogger,
+		}));
 		this._chain = createGatewayChain({
 			settings,
 			site,
@@ -163,7 +172,7 @@
 			intake: this._intake,
 			placement: this._placement,
 			readTracker: this._readTracker,
-			bodyMemory,
+			clients: this._clients,
 			responseMemory: this._responseMemory,
 		});
 		this._callerListener = this._store.add(this._createCallerListener());
@@ -176,6 +185,7 @@
 			isServing: () => this._isServing,
 			recordGauges: () => {
 				this._placement.recordGauges();
+				this._clients.recordGauges();
 				this._metrics.recordGauge('intake.waiting', this._intake.waitingCount);
 				this._metrics.recordGauge('response.held_bytes', this._responseMemory.heldBytes);
 			},
@@ -185,6 +195,8 @@
 			callerListener: this._callerListener,
 			endpoints,
 			members: this._members,
+			clients: this._clients,
+			getDroppedBytes: () => this._view.configuration?.limits.bodyBytes ?? 0,
 			peerMeter: this._peerMeter,
 			logger,
 			notableLogger: this._notableLogger,
@@ -262,6 +274,7 @@
 		const listener = new CallerListener({
 			chain: this._chain,
 			connections: this._connections,
+			clients: this._clients,
 			intake: this._intake,
 			pauseWatch: this._pauseWatch,
 			readTracker: this._readTracker,
--- a/src/bin/gateway-listeners.ts
+++ b/src/bin/gateway-listeners.ts
@@ -1,9 +1,11 @@
+import type {IncomingMessage, ServerOptions, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import {err, ok, type Result} from 'neverthrow';
 import type {DisposableLike} from '../common/disposable-like.js';
 import {DisposableStore} from '../common/disposable-store.js';
 import type {GatewaySettings} from '../common/gateway/gateway-settings.js';
 import type {Logger} from '../common/logger.js';
+import type {ClientConnections} from '../controllers/gateway/client-connections.js';
 import {HeadMemory} from '../controllers/gateway/head-memory.js';
 import type {MemberController} from '../controllers/gateway/member-controller.js';
 import type {ByteMeter} from '../io/gateway/byte-meter.js';
@@ -23,6 +25,9 @@
 	readonly callerListener: CallerListener;
 	readonly endpoints: GatewayEndpoints;
 	readonly members: MemberController;
+	readonly clients: ClientConnections;
+	/** Bytes of a caller's body that are read and dropped after its request was answered. */
+	readonly getDroppedBytes: () => number;
 	/** Counts the bytes exchanged with peers. */
 	readonly peerMeter: ByteMeter;
 	readonly logger: Logger;
@@ -30,12 +35,23 @@
 	readonly notableLogger: Pick<Logger, 'logError'>;
 };
 
+type RequestHandler = (request: IncomingMessage, response: ServerResponse) => void | Promise<void>;
+
 /** The inputs of all calls of peers in progress may take the memory limit divided by this; a full message takes 1 MB. */
 const peerMemoryDivisor = 16;
 /** The unfinished heads of all listeners may have the memory limit divided by this; on the heap, small headers take over ten times their size. */
 const headMemoryDivisor = 128;
+/** Memory that an unfinished head takes at most, as a factor of its size. */
+const headMemoryFactor = 20;
 /** Time within which a call of a peer has to arrive, in ms; a peer gives up after a tenth of it. */
 const peerRequestTimeoutMs = 4000;
+/** Time within which other requests that have no body of use have to arrive, in ms. */
+const questionTimeoutMs = 10_000;
+const connectionCheckMs = 1000;
+/** Requests in progress on one connection of an instance's own listeners; nobody pipelines there. */
+const questionsPerConnection = 32;
+/** Bytes of a body that are read and dropped where no request has one. */
+const droppedQuestionBytes = 65_536;
 
 /** The listeners of a gateway: for callers, readiness checks, questions for addresses, peers and metrics. */
 export class GatewayListeners implements DisposableLike {
@@ -45,33 +61,42 @@
 	private readonly _peer: HttpListener;
 	private readonly _metrics: HttpListener;
 	private readonly _opener: ListenerOpener;
+	private readonly _headMemory: HeadMemory;
+	private readonly _peerMemory: HeldBytes;
 
 	constructor(private readonly _options: GatewayListenersOptions) {
-		const {settings, callerListener, endpoints, members, peerMeter, logger, notableLogger} = _options;
-		this._readiness = this._store.add(new HttpListener({}, (request, response) => {
+		const {settings, callerListener, endpoints, members, clients, getDroppedBytes, peerMeter, logger, notableLogger} = _options;
+		this._readiness = this._createListener({}, (request, response) => {
 			endpoints.handleReadiness(request, response);
-		}, notableLogger));
-		this._route = this._store.add(new HttpListener({}, (request, response) => {
+		});
+		this._route = this._createListener({}, (request, response) => {
 			endpoints.handleResolve(request, response);
-		}, notableLogger));
-		const handlePeerCall = createCallHandler(createSyncRouter(members, logger), new HeldBytes(settings.limits.memoryBytes / peerMemoryDivisor));
-		this._peer = this._store.add(new HttpListener({keepAliveTimeout: 30_000, requestTimeout: peerRequestTimeoutMs, connectionsCheckingInterval: 1000}, async (request, response) => {
+		});
+		this._peerMemory = new HeldBytes(settings.limits.memoryBytes / peerMemoryDivisor, () => clients.freeBytes);
+		const handlePeerCall = createCallHandler(createSyncRouter(members, logger), this._peerMemory);
+		this._peer = this._createListener({keepAliveTimeout: 30_000, requestTimeout: peerRequestTimeoutMs}, async (request, response) => {
 			await handlePeerCall(request, response);
-		}, notableLogger));
+		});
 		this._peer.server.on('connection', (socket: Socket) => {
 			peerMeter.add(socket);
 		});
-		this._metrics = this._store.add(new HttpListener({}, async (_request, response) => {
+		this._metrics = this._createListener({}, async (_request, response) => {
 			await endpoints.handleMetrics(response);
-		}, notableLogger));
-		const headMemory = this._store.add(new HeadMemory({limitBytes: settings.limits.memoryBytes / headMemoryDivisor, logger: notableLogger}));
+		});
+		this._headMemory = this._store.add(new HeadMemory({limitBytes: settings.limits.memoryBytes / headMemoryDivisor, logger: notableLogger}));
 		for (const {server} of [callerListener.listener, this._readiness, this._route, this._peer, this._metrics]) {
-			headMemory.watch(server);
+			this._headMemory.watch(server);
+			clients.watch(server, server === callerListener.listener.server ? getDroppedBytes : () => droppedQuestionBytes);
 		}
 
 		this._opener = this._store.add(new ListenerOpener({clock: systemClock, logger}));
 	}
 
+	/** Memory that calls of peers and unfinished heads of requests take, in bytes. */
+	get heldBytes(): number {
+		return this._peerMemory.held + (this._headMemory.unfinishedBytes * headMemoryFactor);
+	}
+
 	/** Opens all listeners; an error names the address that could not be opened. */
 	async open(): Promise<Result<StartEnd, Error>> {
 		const {listeners} = this._options.settings;
@@ -103,4 +128,15 @@
 	dispose(): void {
 		this._store.dispose();
 	}
+
+	/** Creates a listener that passes on the requests for which there is memory. */
+	private _createListener(options: ServerOptions, handle: RequestHandler): HttpListener {
+		const {clients, notableLogger} = this._options;
+		const limits = {requestTimeout: questionTimeoutMs, headersTimeout: peerRequestTimeoutMs, connectionsCheckingInterval: connectionCheckMs};
+		return this._store.add(new HttpListener({...limits, ...options}, async (request, response) => {
+			if (clients.admit(request, response, questionsPerConnection)) {
+				await handle(request, response);
+			}
+		}, notableLogger));
+	}
 }
--- a/src/common/byte-collector.test.ts
+++ b/src/common/byte-collector.test.ts
@@ -12,6 +12,7 @@
 
 			const all = pieces.flatMap(piece => [...piece]);
 			expect([...collector.mergeBlocks()]).toEqual(all);
+			expect(collector.listBlocks().flatMap(block => [...block])).toEqual(all);
 			expect(collector.length).toBe(all.length);
 			expect(collector.computeCapacity(0)).toBeLessThanOrEqual(Math.max(expectedBytes, all.length + Math.min(65_536, Math.max(1024, all.length))));
 		}), {seed: 37, numRuns: 200});
--- a/src/common/byte-collector.ts
+++ b/src/common/byte-collector.ts
@@ -49,6 +49,11 @@
 		this._length += piece.length;
 	}
 
+	/** Lists the collected bytes without copying them. */
+	listBlocks(): Uint8Array[] {
+		return [...this._fullBlocks, this._block.subarray(0, this._blockLength)].filter(({length}) => length > 0);
+	}
+
 	/** Merges the collected bytes; copies them unless they are in one block. */
 	mergeBlocks(): Uint8Array<ArrayBuffer> {
 		const last = this._block.subarray(0, this._blockLength);
@@ -58,7 +63,7 @@
 
 		const merged = new Uint8Array(this._length);
 		let offset = 0;
-		for (const block of [...this._fullBlocks, last]) {
+		for (const block of this.listBlocks()) {
 			merged.set(block, offset);
 			offset += block.length;
 		}
--- a/src/common/gateway/gateway-settings-schema.ts
+++ b/src/common/gateway/gateway-settings-schema.ts
@@ -17,5 +17,7 @@
 	registry: address,
 	limits: z.object({
 		cores: positive, memoryBytes: positive, stopMs: positive, targetChangeMs: positive, configurationChangeMs: positive, retryRatio: notNegative, retrySlack: notNegative, retryWindowMs: positive, probesPerTargetPerSecond: notNegative,
+		descriptors: z.optional(positive),
+		clients: z.optional(z.object({memoryBytes: z.optional(positive), connections: z.optional(positive), requestsPerConnection: z.optional(positive)})),
 	}, {error: 'must be an object'}),
 }, {error: 'must be an object'});
--- a/src/common/gateway/gateway-settings.ts
+++ b/src/common/gateway/gateway-settings.ts
@@ -1,3 +1,5 @@
+import type {ClientLimits} from './client-limits.js';
+
 /** Settings of one gateway process. */
 export type GatewaySettings = {
 	readonly instance: {
@@ -27,6 +29,10 @@
 		readonly cores: number;
 		/** Memory that this instance may use, in bytes. */
 		readonly memoryBytes: number;
+		/** Descriptors that this instance may have open; a usual number when undefined. */
+		readonly descriptors?: number | undefined;
+		/** Limits of what clients may take together; computed from memory and descriptors where undefined. */
+		readonly clients?: Partial<ClientLimits> | undefined;
 		/** Time within which a change of the targets must take effect, in ms. */
 		readonly targetChangeMs: number;
 		/** Time within which a change of the configuration must take effect, in ms. */
--- a/src/controllers/gateway/head-memory.ts
+++ b/src/controllers/gateway/head-memory.ts
@@ -26,12 +26,18 @@
 /** Limits the memory of request heads that arrive piece by piece. Node.js holds each on the heap, in several times its size, until it is complete or times out. */
 export class HeadMemory implements DisposableLike {
 	private readonly _connections = new Map<Socket, Connection>();
+	private _unfinishedBytes = 0;
 	private readonly _timer = setInterval(() => {
 		this.dropLargest();
 	}, checkIntervalMs);
 
 	constructor(private readonly _options: HeadMemoryOptions) {}
 
+	/** Bytes of unfinished heads by the last check. */
+	get unfinishedBytes(): number {
+		return this._unfinishedBytes;
+	}
+
 	/** Includes the connections that a server accepts from now on. */
 	watch(server: Server): void {
 		server.on('connection', (socket: Socket) => {
@@ -50,13 +56,16 @@
 
 	/** Closes the connections with the largest unfinished heads when all together exceed the limit. Called by a timer. */
 	dropLargest(): void {
+		this._unfinishedBytes = 0;
 		if (this._connections.size <= uncheckedCount) {
 			return;
 		}
 
 		const heads = [...this._connections.values()].map(connection => ({connection, bytes: this._countUnfinishedBytes(connection)}));
+		this._unfinishedBytes = heads.reduce((sum, {bytes}) => sum + bytes, 0);
 		const dropped = chooseHeadsToDrop(heads, this._options.limitBytes);
-		for (const {connection: {socket}} of dropped) {
+		for (const {connection: {socket}, bytes} of dropped) {
+			this._unfinishedBytes -= bytes;
 			this._connections.delete(socket);
 			// A response would keep the head in memory until the caller has read it.
 			socket.destroy();
--- a/src/filters/gateway/body-filter.ts
+++ b/src/filters/gateway/body-filter.ts
@@ -2,8 +2,8 @@
 import {ByteCollector} from '../../common/byte-collector.js';
 import {ErrorKind} from '../../common/error-kind.js';
 import {RequestError} from '../../common/request-error.js';
+import type {ClientConnections} from '../../controllers/gateway/client-connections.js';
 import type {SiteView} from '../../controllers/gateway/site-view.js';
-import type {HeldBytes} from '../../policy/gateway/held-bytes.js';
 import {hasTooManyPieces} from '../../policy/has-too-many-pieces.js';
 import {minRetryAfterMs} from '../../policy/gateway/min-retry-after-ms.js';
 import type {GatewayContext} from './gateway-context.js';
@@ -13,8 +13,8 @@
 
 type BodyFilterOptions = {
 	readonly view: SiteView;
-	/** Limits the bodies that all requests in progress hold together. */
-	readonly heldBytes: HeldBytes;
+	/** Accounts for the bodies with the connections that they arrive on. */
+	readonly clients: Pick<ClientConnections, 'take' | 'release'>;
 };
 
 /** Buffers the whole request body, so that a slow caller holds no slot at a target and the request can be sent to more than one target. */
@@ -26,7 +26,8 @@
 	}
 
 	async handleRequest(context: GatewayContext, next: GatewayNext): GatewayResult {
-		const {view, heldBytes} = this._options;
+		const {view, clients} = this._options;
+		const {socket} = context.request;
 		const limitBytes = view.configuration?.limits.bodyBytes ?? 0;
 		const declaredBytes = Number(context.request.headers['content-length'] ?? 0);
 		if (declaredBytes > limitBytes) {
@@ -34,7 +35,7 @@
 		}
 
 		// A body of declared length is refused before it is read, one of unknown length once it does not fit.
-		if (!heldBytes.tryTake(declaredBytes)) {
+		if (!clients.take(socket, declaredBytes)) {
 			return err(this._createMemoryError());
 		}
 
@@ -53,7 +54,7 @@
 			}
 
 			const missingBytes = Math.max(0, collector.computeCapacity(piece.length) - takenBytes);
-			if (!heldBytes.tryTake(missingBytes)) {
+			if (!clients.take(socket, missingBytes)) {
 				return this._createMemoryError();
 			}
 
@@ -68,10 +69,10 @@
 				return err(readResult.error);
 			}
 
-			context.body = collector.mergeBlocks();
+			context.body = {length: collector.length, blocks: collector.listBlocks()};
 			return await next(context);
 		} finally {
-			heldBytes.release(takenBytes);
+			clients.release(socket, takenBytes);
 		}
 	}
 
@@ -110,6 +111,6 @@
 	}
 
 	private _createMemoryError(): RequestError {
-		return new RequestError(ErrorKind.Overloaded, `the bodies of the requests in progress take ${this._options.heldBytes.held} bytes; this one does not fit`, minRetryAfterMs);
+		return new RequestError(ErrorKind.Overloaded, 'the requests in progress take all the memory that they may; this body does not fit', minRetryAfterMs);
 	}
 }
--- a/src/filters/gateway/gateway-context.ts
+++ b/src/filters/gateway/gateway-context.ts
@@ -1,5 +1,6 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Arrival} from '../../common/arrival.js';
+import type {BodyBlocks} from '../../common/gateway/body-blocks.js';
 import type {GatewayRoute} from '../../common/gateway/gateway-route.js';
 import type {RequestError} from '../../common/request-error.js';
 import type {ResponseHold} from '../../policy/gateway/response-hold.js';
@@ -13,7 +14,7 @@
 	/** Set by the route filter. */
 	service = '';
 	/** Set by the body filter. */
-	body: Uint8Array = new Uint8Array(0);
+	body: BodyBlocks = {length: 0, blocks: []};
 	/** Set by the time limit filter: time by which the response must be complete, on the instance's clock, in ms. */
 	deadlineAt = Number.POSITIVE_INFINITY;
 	/** Set by the time limit filter: time by which a response meets the route's objective, counted from the caller's first attempt, in ms. */
--- a/src/io/gateway/collect-response.ts
+++ b/src/io/gateway/collect-response.ts
@@ -33,7 +33,9 @@
 /** Buffers the body of a target's response, and calls `settle` when the response is complete or can no longer become so. */
 export const collectResponse = (options: CollectOptions, response: IncomingMessage, settle: (exchange: TargetExchange) => void): void => {
 	const {statusCode: status = 0, rawHeaders} = response;
-	const collector = new ByteCollector();
+	const declaredBytes = Number(response.headers['content-length'] ?? 0);
+	// A block of the declared length needs no merging, which would take the memory of the response twice.
+	const collector = new ByteCollector(declaredBytes <= options.maxResponseBytes && options.method !== 'HEAD' ? declaredBytes : 0);
 	const cleanClose = hasDelimitedBody(options.method, status, rawHeaders) ? undefined : detectCleanClose(response.socket);
 	let pieceCount = 0;
 	options.memory.setEviction(Number.NEGATIVE_INFINITY, () => {
--- a/src/io/gateway/outgoing-request.ts
+++ b/src/io/gateway/outgoing-request.ts
@@ -1,3 +1,4 @@
+import type {BodyBlocks} from '../../common/gateway/body-blocks.js';
 import type {BufferedResponse} from '../../common/gateway/buffered-response.js';
 import type {ResponseHold} from '../../policy/gateway/response-hold.js';
 
@@ -5,7 +6,7 @@
 export type OutgoingRequest = {
 	readonly method: string;
 	readonly path: string;
-	readonly body: Uint8Array;
+	readonly body: Uint8Array | BodyBlocks;
 	/** Returns alternating names and values, without hop-by-hop and framing headers. Called when the request is written, which may be long after `sendRequest` was called. */
 	readonly createHeaders: () => readonly string[];
 	/** Called once a connection is open; resolves with whether the request may still be written. */
--- a/src/io/gateway/target-client.ts
+++ b/src/io/gateway/target-client.ts
@@ -89,7 +89,7 @@
 
 				this._addHeaders(request, outgoing);
 				isWritten = true;
-				request.end(body.length > 0 ? body : undefined);
+				this._writeBody(request, body);
 			};
 
 			const writeOrFail = async () => {
@@ -233,6 +233,15 @@
 		}
 	}
 
+	private _writeBody(request: ClientRequest, body: OutgoingRequest['body']): void {
+		const blocks = 'blocks' in body ? body.blocks : [body];
+		for (const block of blocks.slice(0, -1)) {
+			request.write(block);
+		}
+
+		request.end(body.length > 0 ? blocks.at(-1) : undefined);
+	}
+
 	private _limitInformationalResponses(request: ClientRequest): void {
 		let count = 0;
 		request.on('information', () => {
--- a/src/policy/gateway/held-bytes.test.ts
+++ b/src/policy/gateway/held-bytes.test.ts
@@ -12,6 +12,11 @@
 		expect(heldBytes.held).toBe(held);
 	});
 
+	it('takes no more than a budget has left that others share', () => {
+		const heldBytes = new HeldBytes(100, () => 50);
+		expect([heldBytes.tryTake(51), heldBytes.tryTake(50)]).toEqual([false, true]);
+	});
+
 	it('takes bytes again that were released', () => {
 		const heldBytes = new HeldBytes(100);
 		heldBytes.tryTake(100);
--- a/src/policy/gateway/held-bytes.ts
+++ b/src/policy/gateway/held-bytes.ts
@@ -2,8 +2,11 @@
 export class HeldBytes {
 	private _held = 0;
 
-	/** @param _limit - Maximum number of bytes held at a time. */
-	constructor(private readonly _limit: number) {}
+	/**
+	@param _limit - Maximum number of bytes held at a time.
+	@param _countFreeBytes - Counts the bytes that a budget which others share still has.
+	*/
+	constructor(private readonly _limit: number, private readonly _countFreeBytes: () => number = () => Number.POSITIVE_INFINITY) {}
 
 	get held(): number {
 		return this._held;
@@ -11,7 +14,7 @@
 
 	/** Takes a number of bytes; false when they exceed the limit together with those that are held. */
 	tryTake(bytes: number): boolean {
-		if (this._held + bytes > this._limit) {
+		if (this._held + bytes > this._limit || bytes > this._countFreeBytes()) {
 			return false;
 		}
 
--- a/src/policy/gateway/response-memory.test.ts
+++ b/src/policy/gateway/response-memory.test.ts
@@ -9,7 +9,7 @@
 	const createMemory = (now = 0) => {
 		const evictedBytes: number[] = [];
 		const memory = new ResponseMemory({
-			limitBytes,
+			getLimitBytes: () => limitBytes,
 			clock: {now: () => now},
 			onEvicted(bytes) {
 				evictedBytes.push(bytes);
--- a/src/policy/gateway/response-memory.ts
+++ b/src/policy/gateway/response-memory.ts
@@ -8,8 +8,8 @@
 };
 
 type ResponseMemoryOptions = {
-	/** Maximum memory of all buffered responses together, in bytes. */
-	readonly limitBytes: number;
+	/** Returns the maximum memory of all buffered responses together, in bytes. */
+	readonly getLimitBytes: () => number;
 	readonly clock: Clock;
 	/** Called after a response of this size was given up. */
 	readonly onEvicted: (bytes: number) => void;
@@ -54,7 +54,7 @@
 			return false;
 		}
 
-		while (this._heldBytes - holder.bytes + bytes > this._options.limitBytes) {
+		while (this._heldBytes - holder.bytes + bytes > this._options.getLimitBytes()) {
 			const largest = this._findLargest(holder);
 			if (largest === undefined || largest.bytes <= bytes) {
 				return false;
