Leave memory of clients to connections that hold little

Large bodies could take the whole budget, so that heads of peers' calls and of ordinary callers were refused. A twentieth of the budget is now left to connections that hold less than a twentieth.

--- a/src/controllers/gateway/client-connections.ts
+++ b/src/controllers/gateway/client-connections.ts
@@ -35,6 +35,10 @@
 const highResidentShare = 0.6;
 /** Share of the budget that remains then, so that ordinary callers are served also when the memory isn't returned. */
 const shrunkShare = 0.25;
+/** Share of the budget that only connections with little memory may take, so that bodies leave room for the requests of peers and ordinary callers. */
+const reservedShare = 0.05;
+/** Share of the budget up to which a connection counts as one with little memory. */
+const smallShare = 0.05;
 /** Memory from which on a connection is in the middle of a large body, which the shrunk budget does not refuse, in bytes. */
 const largeBodyBytes = 1_000_000;
 /** Heap that a refused request takes until its response is sent, in bytes; its fields are dropped at once. */
@@ -195,7 +199,9 @@
 	}
 
 	private _tryTake(client: ClientConnection, bytes: number): boolean {
-		const countFreeBytes = () => client.heldBytes >= largeBodyBytes ? this._totalFreeBytes : this.freeBytes;
+		const {memoryBytes} = this._options.limits;
+		const reservedBytes = client.heldBytes + bytes > memoryBytes * smallShare ? memoryBytes * reservedShare : 0;
+		const countFreeBytes = () => (client.heldBytes >= largeBodyBytes ? this._totalFreeBytes : this.freeBytes) - reservedBytes;
 		while (bytes > countFreeBytes() + this._closingBytes) {
 			if (!this._closeStalled('memory', ({heldBytes, socket}) => heldBytes > 0 && socket !== client.socket)) {
 				return false;
