Let small requests pass while clients hold much memory

Connections that hold at most 250 KB are now bound by the whole budget only. Bodies together take at most half of the budget, or 0.95 when one needs more than half by itself.

The whole suite was not run.

--- a/src/bin/gateway-listeners.ts
+++ b/src/bin/gateway-listeners.ts
@@ -72,7 +72,7 @@
 		this._route = this._createListener({}, (request, response) => {
 			endpoints.handleResolve(request, response);
 		});
-		this._peerMemory = new HeldBytes(settings.limits.memoryBytes / peerMemoryDivisor, () => clients.freeBytes);
+		this._peerMemory = new HeldBytes(settings.limits.memoryBytes / peerMemoryDivisor, () => clients.totalFreeBytes);
 		const handlePeerCall = createCallHandler(createSyncRouter(members, logger), this._peerMemory);
 		this._peer = this._createListener({keepAliveTimeout: 30_000, requestTimeout: peerRequestTimeoutMs}, async (request, response) => {
 			await handlePeerCall(request, response);
--- a/src/controllers/gateway/client-connections.ts
+++ b/src/controllers/gateway/client-connections.ts
@@ -37,8 +37,10 @@
 const shrunkShare = 0.25;
 /** Share of the budget that only connections with little memory may take, so that bodies leave room for the requests of peers and ordinary callers. */
 const reservedShare = 0.05;
-/** Share of the budget up to which a connection counts as one with little memory. */
-const smallShare = 0.05;
+/** Share of the budget that bodies may take together, unless one of them needs more by itself. Each byte also passes through buffers of sockets and returns in a response. */
+const sharedShare = 0.5;
+/** Memory up to which a connection counts as one with little, in bytes: an ordinary head, as it counts at most, and a small body. */
+const smallRequestBytes = 250_000;
 /** Memory from which on a connection is in the middle of a large body, which the shrunk budget does not refuse, in bytes. */
 const largeBodyBytes = 1_000_000;
 /** Heap that a refused request takes until its response is sent, in bytes; its fields are dropped at once. */
@@ -65,11 +67,14 @@
 		this._headWeight = Math.max(1, _options.limits.memoryBytes / (getHeapStatistics().heap_size_limit * headHeapShare));
 	}
 
-	/** Memory that may still be taken, in bytes. */
+	/** Memory that large bodies and responses may still take, in bytes. */
 	get freeBytes(): number {
-		const {limits, processLimitBytes, residentMemory} = this._options;
-		const isResidentHigh = residentMemory.bytes > processLimitBytes * highResidentShare;
-		return this._totalFreeBytes - (isResidentHigh ? limits.memoryBytes * (1 - shrunkShare) : 0);
+		return this.totalFreeBytes - (this._options.limits.memoryBytes * (this._isResidentHigh ? 1 - shrunkShare : reservedShare));
+	}
+
+	/** Memory that small requests may still take, in bytes. It doesn't shrink, so that the requests of peers and ordinary callers are read in any case. */
+	get totalFreeBytes(): number {
+		return this._options.limits.memoryBytes - this._heldBytes - this._options.countOtherBytes();
 	}
 
 	/**
@@ -175,9 +180,9 @@
 		clearInterval(this._timer);
 	}
 
-	/** Memory that connections may still take which hold a large body already, in bytes. */
-	private get _totalFreeBytes(): number {
-		return this._options.limits.memoryBytes - this._heldBytes - this._options.countOtherBytes();
+	private get _isResidentHigh(): boolean {
+		const {processLimitBytes, residentMemory} = this._options;
+		return residentMemory.bytes > processLimitBytes * highResidentShare;
 	}
 
 	private _addConnection(socket: Socket): void {
@@ -199,9 +204,7 @@
 	}
 
 	private _tryTake(client: ClientConnection, bytes: number): boolean {
-		const {memoryBytes} = this._options.limits;
-		const reservedBytes = client.heldBytes + bytes > memoryBytes * smallShare ? memoryBytes * reservedShare : 0;
-		const countFreeBytes = () => (client.heldBytes >= largeBodyBytes ? this._totalFreeBytes : this.freeBytes) - reservedBytes;
+		const countFreeBytes = () => this._countFreeBytes(client, client.heldBytes + bytes);
 		while (bytes > countFreeBytes() + this._closingBytes) {
 			if (!this._closeStalled('memory', ({heldBytes, socket}) => heldBytes > 0 && socket !== client.socket)) {
 				return false;
@@ -218,6 +221,20 @@
 		return true;
 	}
 
+	/** Counts the memory that a connection may still take which would then hold a number of bytes. */
+	private _countFreeBytes(client: ClientConnection, heldBytes: number): number {
+		const {memoryBytes} = this._options.limits;
+		if (heldBytes <= Math.min(smallRequestBytes, memoryBytes * reservedShare)) {
+			return this.totalFreeBytes;
+		}
+
+		if (client.heldBytes < largeBodyBytes && this._isResidentHigh) {
+			return this.freeBytes;
+		}
+
+		return this.totalFreeBytes - (memoryBytes * (heldBytes > memoryBytes * sharedShare ? reservedShare : sharedShare));
+	}
+
 	/** Closes the next connection that does not get on and meets a condition; false when there is none. */
 	private _closeStalled(cause: string, matches: (client: ClientConnection) => boolean): boolean {
 		for (let index = this._stalled.length - 1; index >= 0; index--) {
@@ -287,7 +304,7 @@
 
 		this._stalled = orderStalledClients(this._clients.values()).reverse();
 		// Responses of targets take their memory even when there is none left.
-		while (this._totalFreeBytes + this._closingBytes < 0 && this._closeStalled('memory', ({heldBytes}) => heldBytes > 0)) {
+		while (this.totalFreeBytes + this._closingBytes < 0 && this._closeStalled('memory', ({heldBytes}) => heldBytes > 0)) {
 			// Goes on with the next one.
 		}
 	}
