--- a/src/common/gateway/gateway-settings-schema.ts
+++ b/src/common/gateway/gateway-settings-schema.ts
@@ -19,6 +19,7 @@
 	limits: z.object({
 		cores: positive,
 		memoryBytes: positive,
+		descriptors: z.optional(positive),
 		stopMs: positive,
 		targetChangeMs: positive,
 		configurationChangeMs: positive,
@@ -30,5 +31,6 @@
 		warmUpOvershoot: z.optional(notNegative),
 		warmUpSlack: z.optional(notNegative),
 		hedgeRatio: z.optional(ratio),
+		clients: z.optional(z.object({memoryBytes: z.optional(positive), connections: z.optional(positive), requestsPerConnection: z.optional(positive)})),
 	}, {error: 'must be an object'}),
 }, {error: 'must be an object'});
