--- a/src/bin/create-gateway-chain.ts
+++ b/src/bin/create-gateway-chain.ts
@@ -56,8 +56,7 @@
 
 /** Creates the chain of filters that every request of a gateway's callers passes. */
 export const createGatewayChain = (options: GatewayChainOptions): FilterChain<GatewayContext, BufferedResponse> => {
-	const {site, view, logger, notableLogger, metrics, connections, shutdown, intake, placement, readTracker, clients, responseMemory} = options;
-	const {settings, site, view, logger, notableLogger, metrics, connections, shutdown, intake, placement, readTracker, bodyMemory, responseMemory} = options;
+	const {settings, site, view, logger, notableLogger, metrics, connections, shutdown, intake, placement, readTracker, clients, responseMemory} = options;
 	const callerCheck = new CallerCheck({readTracker, clock: systemClock});
 	return new FilterChain<GatewayContext, BufferedResponse>([
 		new ShutdownFilter({shutdown, connections}),
--- a/src/bin/gateway-daemon.ts
+++ b/src/bin/gateway-daemon.ts
@@ -8,6 +8,7 @@
 import type {Logger} from '../common/logger.js';
 import {CallerConnections} from '../controllers/caller-connections.js';
 import {ClientConnections} from '../controllers/gateway/client-connections.js';
+import {createColdTargetOwners} from '../controllers/gateway/create-cold-target-owners.js';
 import {EntryController} from '../controllers/gateway/entry-controller.js';
 import {IntakeController} from '../controllers/gateway/intake-controller.js';
 import {MemberController} from '../controllers/gateway/member-controller.js';
@@ -27,7 +28,6 @@
 import {SyncClient} from '../io/gateway/sync-client.js';
 import {systemClock} from '../io/system-clock.js';
 import {addressTtlMs} from '../policy/gateway/address-ttl-ms.js';
-import {ColdTargetOwners} from '../policy/gateway/cold-target-owners.js';
 import {FleetShare} from '../policy/gateway/fleet-share.js';
 import {ResponseMemory} from '../policy/gateway/response-memory.js';
 import {computeResponseLimit} from '../policy/gateway/compute-response-limit.js';
@@ -125,9 +125,7 @@
 			countInstances: () => this._members.listRunning().length,
 			countPeerBytes: () => this._peerMeter.totalBytes,
 		}));
-		this._entries = new EntryController({
-			members: this._members, view: this._view, failureDomain: settings.instance.failureDomain, failureDomainCount: settings.failureDomains.length,
-		});
+		this._entries = new EntryController({members: this._members, view: this._view, settings});
 		this._shutdown = this._store.add(this._createShutdown());
 		this._pauseWatch = this._store.add(new PauseWatch({clock: systemClock, logger}));
 		this._placement = this._store.add(new PlacementController({
@@ -138,7 +136,9 @@
 			metrics: this._metrics,
 			clock: systemClock,
 			random: Math.random,
-			coldTargetOwners: this._createColdTargetOwners(),
+			coldTargetOwners: createColdTargetOwners({
+				settings, members: this._members, view: this._view, store: this._store,
+			}),
 			share: new FleetShare({
 				clock: systemClock,
 				failureDomainCount: settings.failureDomains.length,
@@ -271,17 +271,6 @@
 		});
 	}
 
-	private _createColdTargetOwners(): ColdTargetOwners {
-		const {instance, limits} = this._options.settings;
-		const owners = new ColdTargetOwners({
-			selfId: instance.id, members: this._members, overshoot: limits.warmUpOvershoot, slack: limits.warmUpSlack,
-		}, systemClock.now());
-		this._store.add(this._view.onVersionChange(() => {
-			owners.refresh(systemClock.now());
-		}));
-		return owners;
-	}
-
 	private _createCallerListener(): CallerListener {
 		const listener = new CallerListener({
 			chain: this._chain,
--- a/src/controllers/gateway/entry-controller.test.ts
+++ b/src/controllers/gateway/entry-controller.test.ts
@@ -20,8 +20,7 @@
 	const counted = {changes: 1, listings: 0};
 	const entries = new EntryController({
 		view,
-		failureDomain: 'a',
-		failureDomainCount: 1,
+		settings: {instance: {id: 'a-1', failureDomain: 'a', region: 'r'}, failureDomains: ['a']},
 		members: {
 			get changeNumber() {
 				return counted.changes;
--- a/src/controllers/gateway/entry-controller.ts
+++ b/src/controllers/gateway/entry-controller.ts
@@ -1,3 +1,4 @@
+import type {GatewaySettings} from '../../common/gateway/gateway-settings.js';
 import type {ResolveResponse} from '../../common/gateway/resolve-response.js';
 import type {ResolveRequest} from '../../common/gateway/resolve-request.js';
 import {addressTtlMs} from '../../policy/gateway/address-ttl-ms.js';
@@ -12,10 +13,8 @@
 type EntryControllerOptions = {
 	readonly members: Pick<MemberController, 'listServing' | 'changeNumber'>;
 	readonly view: SiteView;
-	/** Number of failure domains of the site, whose callers share the targets. */
-	readonly failureDomainCount: number;
-	/** Failure domain that is assumed for a caller that does not state its own. */
-	readonly failureDomain: string;
+	/** The own failure domain is assumed for a caller that does not state its own; the callers of all share the targets. */
+	readonly settings: Pick<GatewaySettings, 'instance' | 'failureDomains'>;
 };
 
 type Assignment = {
@@ -49,7 +48,7 @@
 
 	/** Resolves a caller's request to the data addresses of instances and their time to live. */
 	resolve(request: ResolveRequest): ResolveResponse {
-		const {serving, entries} = this._getAssignment(request.failureDomain === '' ? this._options.failureDomain : request.failureDomain);
+		const {serving, entries} = this._getAssignment(request.failureDomain === '' ? this._options.settings.instance.failureDomain : request.failureDomain);
 		const assigned = entries.get(request.host.toLowerCase()) ?? serving;
 		return {addresses: assigned.slice(0, maxAddresses).map(member => member.dataAddress), lifetimeMs: addressTtlMs};
 	}
@@ -76,7 +75,7 @@
 		const assigned = assignEntries(this._groups, serving);
 		const entries = new Map<string, readonly GatewayMember[]>();
 		for (const {name, hosts, slots} of this._groups) {
-			const limited = limitEntries(name, assigned.get(name) ?? [], slots / this._options.failureDomainCount);
+			const limited = limitEntries(name, assigned.get(name) ?? [], slots / this._options.settings.failureDomains.length);
 			for (const host of hosts) {
 				entries.set(host, limited);
 			}
