--- a/src/controllers/gateway/client-connections.ts
+++ b/src/controllers/gateway/client-connections.ts
@@ -9,6 +9,7 @@
 import type {Metrics} from '../../common/metrics.js';
 import {RequestError} from '../../common/request-error.js';
 import {writeProblem} from '../../io/write-problem.js';
+import {computeFreeBytes} from '../../policy/gateway/compute-free-bytes.js';
 import {estimateHeadBytes} from '../../policy/gateway/estimate-head-bytes.js';
 import {minRetryAfterMs} from '../../policy/gateway/min-retry-after-ms.js';
 import {orderStalledClients} from '../../policy/gateway/order-stalled-clients.js';
@@ -33,16 +34,6 @@
 const headHeapShare = 0.125;
 /** Share of the memory of the process from which on the budget shrinks; the system's allocator may return buffers late, and what it keeps is counted nowhere else. */
 const highResidentShare = 0.6;
-/** Share of the budget that remains then, so that ordinary callers are served also when the memory isn't returned. */
-const shrunkShare = 0.25;
-/** Share of the budget that only connections with little memory may take, so that bodies leave room for the requests of peers and ordinary callers. */
-const reservedShare = 0.05;
-/** Share of the budget that bodies may take together, unless one of them needs more by itself. Each byte also passes through buffers of sockets and returns in a response. */
-const sharedShare = 0.5;
-/** Memory up to which a connection counts as one with little, in bytes: an ordinary head, as it counts at most, and a small body. */
-const smallRequestBytes = 250_000;
-/** Memory from which on a connection is in the middle of a large body, which the shrunk budget does not refuse, in bytes. */
-const largeBodyBytes = 1_000_000;
 /** Heap that a refused request takes until its response is sent, in bytes; its fields are dropped at once. */
 const refusedRequestBytes = 3000;
 /** Header fields from which on a connection closes after the response. Such a request takes over a millisecond to read, so a connection that sends one after the other would hold up all others. */
@@ -69,7 +60,7 @@
 
 	/** Memory that large bodies and responses may still take, in bytes. */
 	get freeBytes(): number {
-		return this.totalFreeBytes - (this._options.limits.memoryBytes * (this._isResidentHigh ? 1 - shrunkShare : reservedShare));
+		return this._countFreeBytes(0, this._options.limits.memoryBytes);
 	}
 
 	/** Memory that small requests may still take, in bytes. It doesn't shrink, so that the requests of peers and ordinary callers are read in any case. */
@@ -180,11 +171,6 @@
 		clearInterval(this._timer);
 	}
 
-	private get _isResidentHigh(): boolean {
-		const {processLimitBytes, residentMemory} = this._options;
-		return residentMemory.bytes > processLimitBytes * highResidentShare;
-	}
-
 	private _addConnection(socket: Socket): void {
 		if (this._clients.size >= this._options.limits.connections && !this._closeStalled('connections', () => true)) {
 			this._countRefusal('connections');
@@ -204,7 +190,7 @@
 	}
 
 	private _tryTake(client: ClientConnection, bytes: number): boolean {
-		const countFreeBytes = () => this._countFreeBytes(client, client.heldBytes + bytes);
+		const countFreeBytes = () => this._countFreeBytes(client.heldBytes, bytes);
 		while (bytes > countFreeBytes() + this._closingBytes) {
 			if (!this._closeStalled('memory', ({heldBytes, socket}) => heldBytes > 0 && socket !== client.socket)) {
 				return false;
@@ -221,18 +207,13 @@
 		return true;
 	}
 
-	/** Counts the memory that a connection may still take which would then hold a number of bytes. */
-	private _countFreeBytes(client: ClientConnection, heldBytes: number): number {
-		const {memoryBytes} = this._options.limits;
-		if (heldBytes <= Math.min(smallRequestBytes, memoryBytes * reservedShare)) {
-			return this.totalFreeBytes;
-		}
-
-		if (client.heldBytes < largeBodyBytes && this._isResidentHigh) {
-			return this.freeBytes;
-		}
-
-		return this.totalFreeBytes - (memoryBytes * (heldBytes > memoryBytes * sharedShare ? reservedShare : sharedShare));
+	/** Counts the memory that a connection may still take. */
+	private _countFreeBytes(heldBytes: number, askedBytes: number): number {
+		const {limits, processLimitBytes, residentMemory} = this._options;
+		const isResidentHigh = residentMemory.bytes > processLimitBytes * highResidentShare;
+		return computeFreeBytes({
+			budgetBytes: limits.memoryBytes, unusedBytes: this.totalFreeBytes, isResidentHigh, heldBytes, askedBytes,
+		});
 	}
 
 	/** Closes the next connection that does not get on and meets a condition; false when there is none. */
