--- a/src/io/gateway/decode-evacuations.test.ts
+++ b/src/io/gateway/decode-evacuations.test.ts
@@ -29,7 +29,7 @@
 		['a retention that is negative', version, {...set, retained: [{domain: 'b', leftMs: -1}]}, false],
 		['a set that is a list', version, ['a'], false],
 	])('of %s', (_name, peerVersion, peerSet, isValid) => {
-		const decoded = decodeEvacuations({...view, evacuations: peerVersion as ViewVersion['evacuations']} as ViewVersion, peerSet);
+		const decoded = decodeEvacuations({...view, evacuations: peerVersion as ViewVersion['evacuations']}, peerSet);
 		expect(decoded).toEqual(isValid
 			? {view: {...view, ...(peerVersion !== undefined && {evacuations: peerVersion})}, set: peerSet, isValid}
 			: {view, set: undefined, isValid});
--- a/src/policy/gateway/evacuations.test.ts
+++ b/src/policy/gateway/evacuations.test.ts
@@ -23,25 +23,45 @@
 			name: 'an older set after a newer one', steps: [{atMs: 0, domains: [], revision: 6}, {atMs: 10, domains: ['a'], revision: 5}], nowMs: 10, inForce: [],
 		},
 		{
-			name: 'a lower revision of a later era', steps: [{atMs: 0, domains: ['a'], revision: 6}, {atMs: 10, domains: ['a', 'b'], era: 1, revision: 2}], nowMs: 10, inForce: ['a', 'b'],
+			name: 'a lower revision of a later era', steps: [{atMs: 0, domains: ['a'], revision: 6}, {
+				atMs: 10, domains: ['a', 'b'], era: 1, revision: 2,
+			}], nowMs: 10, inForce: ['a', 'b'],
 		},
 		{
-			name: 'a higher revision of an earlier era', steps: [{atMs: 0, domains: [], era: 1, revision: 6}, {atMs: 10, domains: ['a'], revision: 9}], nowMs: 10, inForce: [],
+			name: 'a higher revision of an earlier era', steps: [{
+				atMs: 0, domains: [], era: 1, revision: 6,
+			}, {atMs: 10, domains: ['a'], revision: 9}], nowMs: 10, inForce: [],
 		},
 		{
-			name: 'an evacuation that the restored registry has lost', steps: [{atMs: 0, domains: ['a'], revision: 6}, {atMs: 10, domains: [], era: 1, revision: 2}], nowMs: 5009, inForce: ['a'],
+			name: 'an evacuation that the restored registry has lost', steps: [{atMs: 0, domains: ['a'], revision: 6}, {
+				atMs: 10, domains: [], era: 1, revision: 2,
+			}], nowMs: 5009, inForce: ['a'],
 		},
 		{
-			name: 'the same after its time', steps: [{atMs: 0, domains: ['a'], revision: 6}, {atMs: 10, domains: [], era: 1, revision: 2}], nowMs: 5010, inForce: [],
+			name: 'the same after its time', steps: [{atMs: 0, domains: ['a'], revision: 6}, {
+				atMs: 10, domains: [], era: 1, revision: 2,
+			}], nowMs: 5010, inForce: [],
 		},
 		{
-			name: 'the same when it was written again and deleted', steps: [{atMs: 0, domains: ['a'], revision: 6}, {atMs: 10, domains: [], era: 1, revision: 2}, {atMs: 20, domains: ['a'], era: 1, revision: 3}, {atMs: 30, domains: [], era: 1, revision: 4}], nowMs: 30, inForce: [],
+			name: 'the same when it was written again and deleted', steps: [{atMs: 0, domains: ['a'], revision: 6}, {
+				atMs: 10, domains: [], era: 1, revision: 2,
+			}, {
+				atMs: 20, domains: ['a'], era: 1, revision: 3,
+			}, {
+				atMs: 30, domains: [], era: 1, revision: 4,
+			}], nowMs: 30, inForce: [],
 		},
 		{
-			name: 'one that a peer retains', steps: [{atMs: 0, domains: [], era: 1, revision: 6, retained: [{domain: 'a', leftMs: 2000}]}], nowMs: 1999, inForce: ['a'],
+			name: 'one that a peer retains', steps: [{
+				atMs: 0, domains: [], era: 1, revision: 6, retained: [{domain: 'a', leftMs: 2000}],
+			}], nowMs: 1999, inForce: ['a'],
 		},
 		{
-			name: 'one that a peer retains when the own read is newer', steps: [{atMs: 0, domains: [], era: 1, revision: 8}, {atMs: 0, domains: [], era: 1, revision: 6, retained: [{domain: 'a', leftMs: 2000}]}], nowMs: 1999, inForce: ['a'],
+			name: 'one that a peer retains when the own read is newer', steps: [{
+				atMs: 0, domains: [], era: 1, revision: 8,
+			}, {
+				atMs: 0, domains: [], era: 1, revision: 6, retained: [{domain: 'a', leftMs: 2000}],
+			}], nowMs: 1999, inForce: ['a'],
 		},
 		{
 			name: 'one that peers retain again and again', steps: [0, 1000].map(atMs => ({
@@ -49,10 +69,14 @@
 			})), nowMs: 2000, inForce: [],
 		},
 		{
-			name: 'one that a peer would retain for longer than is allowed', steps: [{atMs: 0, domains: [], era: 1, revision: 6, retained: [{domain: 'a', leftMs: 1e9}]}], nowMs: 5000, inForce: [],
+			name: 'one that a peer would retain for longer than is allowed', steps: [{
+				atMs: 0, domains: [], era: 1, revision: 6, retained: [{domain: 'a', leftMs: 1e9}],
+			}], nowMs: 5000, inForce: [],
 		},
 		{
-			name: 'an older set that was accepted under a higher generation', steps: [{atMs: 0, domains: ['a'], revision: 9e6}, {atMs: 10, domains: ['b'], revision: 7, generation: 1}], nowMs: 5010, inForce: ['b'],
+			name: 'an older set that was accepted under a higher generation', steps: [{atMs: 0, domains: ['a'], revision: 9e6}, {
+				atMs: 10, domains: ['b'], revision: 7, generation: 1,
+			}], nowMs: 5010, inForce: ['b'],
 		},
 	])('keeps in force $name', ({steps, nowMs, inForce}) => {
 		const evacuations = new Evacuations(retentionMs);
@@ -70,7 +94,9 @@
 			fc.record({kind: fc.constantFrom('set', 'delete'), domain: fc.constantFrom('a', 'b', 'c')}),
 			fc.record({kind: fc.constant('restore'), back: fc.nat(6)}),
 			fc.record({kind: fc.constant('read'), instance: fc.nat(3)}),
-			fc.record({kind: fc.constant('send'), from: fc.nat(3), to: fc.nat(3), delay: fc.nat(8)}),
+			fc.record({
+				kind: fc.constant('send'), from: fc.nat(3), to: fc.nat(3), delay: fc.nat(8),
+			}),
 		);
 		fc.assert(fc.property(fc.array(step, {maxLength: 60}), steps => {
 			const instances = Array.from({length: 4}, () => new Evacuations(retentionMs));
--- a/src/policy/gateway/evacuations.ts
+++ b/src/policy/gateway/evacuations.ts
@@ -7,6 +7,7 @@
 	private _set: EvacuationSet = {
 		generation: 0, era: 0, revision: 0, domains: [],
 	};
+
 	/** Time until which a domain that the restored registry has lost stays evacuated, in ms; one that has ended is kept until the registry is restored again. */
 	private _retainedUntil = new Map<string, number>();
 
--- a/src/policy/gateway/group-hosts.test.ts
+++ b/src/policy/gateway/group-hosts.test.ts
@@ -8,7 +8,11 @@
 	it.each([
 		{name: 'keeps host names of different services apart', hosts: {h: ['a'], i: ['b']}, expected: ['h: 80', 'i: 40']},
 		{name: 'joins host names of one service', hosts: {h: ['a'], i: ['a'], j: ['b']}, expected: ['h i: 80', 'j: 40']},
-		{name: 'joins host names through a split between services', hosts: {h: ['a'], i: ['b'], j: ['a', 'b'], k: ['c']}, expected: ['h i j: 120', 'k: 50']},
+		{
+			name: 'joins host names through a split between services', hosts: {
+				h: ['a'], i: ['b'], j: ['a', 'b'], k: ['c'],
+			}, expected: ['h i j: 120', 'k: 50'],
+		},
 		{name: 'counts a service without targets as none', hosts: {h: ['x']}, expected: ['h: 0']},
 		{name: 'returns no group without host names', hosts: {}, expected: []},
 	])('$name, in any order', ({hosts, expected}) => {
--- a/src/policy/gateway/limit-entries.test.ts
+++ b/src/policy/gateway/limit-entries.test.ts
@@ -12,11 +12,21 @@
 // Guards against callers that are spread thinly over many instances, and against a small instance that gets as many callers as a large one.
 describe('limitEntries', () => {
 	it.each([
-		{name: 'keeps all of a few', cores: small(7), slots: 1, count: 7, largest: 0.25},
-		{name: 'keeps eight of many with little load', cores: small(40), slots: 1, count: 8, largest: 0.25},
-		{name: 'grows with the slots of the targets', cores: small(40), slots: 60, count: 12, largest: 0.25},
-		{name: 'keeps all when the load needs them', cores: small(40), slots: 1000, count: 40, largest: 0.25},
-		{name: 'prefers those with most processor time', cores: [...small(40), 1.5, 1.5], slots: 60, count: 8, largest: 1.5},
+		{
+			name: 'keeps all of a few', cores: small(7), slots: 1, count: 7, largest: 0.25,
+		},
+		{
+			name: 'keeps eight of many with little load', cores: small(40), slots: 1, count: 8, largest: 0.25,
+		},
+		{
+			name: 'grows with the slots of the targets', cores: small(40), slots: 60, count: 12, largest: 0.25,
+		},
+		{
+			name: 'keeps all when the load needs them', cores: small(40), slots: 1000, count: 40, largest: 0.25,
+		},
+		{
+			name: 'prefers those with most processor time', cores: [...small(40), 1.5, 1.5], slots: 60, count: 8, largest: 1.5,
+		},
 	])('$name', ({cores, slots, count, largest}) => {
 		const members = createMembers(cores);
 		const entries = limitEntries('g', members, slots);
