--- a/src/policy/gateway/evacuations.test.ts
+++ b/src/policy/gateway/evacuations.test.ts
@@ -121,7 +121,8 @@
 					const others = (history.at(-1) ?? []).filter(domain => domain !== given.domain);
 					history.push(given.kind === 'set' ? [...others, given.domain] : others);
 				} else if ('back' in given) {
-					const before = instances.map(instance => instance.listInForce(now));
+					const restoredAt = now;
+					const before = instances.map(instance => instance.listInForce(restoredAt));
 					history = history.slice(0, Math.max(1, history.length - given.back));
 					era++;
 					for (const [index, instance] of instances.entries()) {
