--- a/src/controllers/gateway/limited-hedge-source.ts
+++ b/src/controllers/gateway/limited-hedge-source.ts
@@ -106,7 +106,7 @@
 
 	private async _acquire(request: HedgeRequest): Promise<HedgeOffer> {
 		const {placement} = request;
-		// Until the first target is written down as tried, the hedge could go to the same one.
+		// Before the first target is listed as attempted, the hedge could go to the same one.
 		const lease = placement.excludedTargets.length === 0 ? undefined : await this._options.placement.tryAcquire(placement);
 		if (lease === undefined) {
 			return this._refuse(request, HedgeRefusal.Capacity);
