--- a/src/controllers/gateway/client-connection.ts
+++ b/src/controllers/gateway/client-connection.ts
@@ -4,10 +4,10 @@
 
 type OpenRequest = {readonly request: IncomingMessage; readonly response: ServerResponse};
 
-/** Bytes that a client has to send or read between two checks so that it counts as getting on; a kilobyte a second at four checks a second. */
+/** Bytes that a client has to send or read between two checks so that it counts as making progress; a kilobyte a second at four checks a second. */
 const minProgressBytes = 256;
 
-/** A connection of a client: what it holds and whether it gets on. */
+/** A connection of a client: what it holds and whether it makes progress. */
 export class ClientConnection implements ClientState {
 	heldBytes = 0;
 	stalledChecks = 0;
@@ -31,7 +31,7 @@
 	}
 
 	/** Whether the client has sent or read enough since the last check, or is served. */
-	get isGettingOn(): boolean {
+	get isProgressing(): boolean {
 		return this._isServed || this._countMovedBytes() - this._movedBytes >= minProgressBytes;
 	}
 
@@ -48,7 +48,7 @@
 
 	/** Compares what the client has sent and read with the last check. */
 	checkProgress(): void {
-		this.stalledChecks = this.isGettingOn ? 0 : this.stalledChecks + 1;
+		this.stalledChecks = this.isProgressing ? 0 : this.stalledChecks + 1;
 		this._movedBytes = this._countMovedBytes();
 	}
 
--- a/src/controllers/gateway/client-connections.ts
+++ b/src/controllers/gateway/client-connections.ts
@@ -135,7 +135,7 @@
 		return isAdmitted;
 	}
 
-	/** Takes memory for a connection; false when there is none, even after connections that don't get on were closed. */
+	/** Takes memory for a connection; false when there is none, even after stalled connections were closed. */
 	take(socket: Duplex, bytes: number): boolean {
 		const client = this._clients.get(socket);
 		if (client === undefined) {
@@ -216,11 +216,11 @@
 		});
 	}
 
-	/** Closes the next connection that does not get on and meets a condition; false when there is none. */
+	/** Closes the next stalled connection that meets a condition; false when there is none. */
 	private _closeStalled(cause: string, matches: (client: ClientConnection) => boolean): boolean {
 		for (let index = this._stalled.length - 1; index >= 0; index--) {
 			const client = this._stalled[index]!;
-			if (!this._clients.has(client.socket) || client.stalledChecks === 0 || client.isGettingOn) {
+			if (!this._clients.has(client.socket) || client.stalledChecks === 0 || client.isProgressing) {
 				this._stalled.splice(index, 1);
 			} else if (matches(client)) {
 				this._stalled.splice(index, 1);
--- a/src/policy/gateway/client-state.ts
+++ b/src/policy/gateway/client-state.ts
@@ -1,4 +1,4 @@
-/** What a connection of a client holds and whether it gets on. */
+/** What a connection of a client holds and whether it makes progress. */
 export type ClientState = {
 	/** Memory that the connection holds, in bytes. */
 	readonly heldBytes: number;
--- a/src/policy/gateway/order-stalled-clients.ts
+++ b/src/policy/gateway/order-stalled-clients.ts
@@ -5,7 +5,7 @@
 
 /**
 Lists the connections that are to be closed when a budget is short, in this order: the one that holds most goes first, then the one that stalled
-first. Idle connections come last, since sound callers keep some. Those that get on, or for which a target is at work, are not among them.
+first. Idle connections come last, since sound callers keep some. Those that make progress, or for which a target is at work, are not among them.
 */
 export const orderStalledClients = <Client extends ClientState>(clients: Iterable<Client>): Client[] => [...clients]
 	.filter(({stalledChecks}) => stalledChecks >= minStalledChecks)
