--- a/src/bin/gateway-endpoints.ts
+++ b/src/bin/gateway-endpoints.ts
@@ -1,7 +1,7 @@
 import {Buffer} from 'node:buffer';
 import process from 'node:process';
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {fromPromise} from 'neverthrow';
+import {fromPromise, type Result} from 'neverthrow';
 import type {SiteInterface} from '../common/gateway/site-interface.js';
 import type {Logger} from '../common/logger.js';
 import type {EntryController} from '../controllers/gateway/entry-controller.js';
@@ -24,6 +24,8 @@
 
 /** Answers what is asked about a gateway itself: whether it is ready, which addresses callers should use, and its metrics. */
 export class GatewayEndpoints {
+	private _rendering: Promise<Result<Uint8Array, Error>> | undefined;
+
 	constructor(private readonly _options: GatewayEndpointsOptions) {}
 
 	handleReadiness(request: IncomingMessage, response: ServerResponse): void {
@@ -49,23 +51,38 @@
 	}
 
 	async handleMetrics(response: ServerResponse): Promise<void> {
-		const {view, metrics, logger, recordGauges} = this._options;
-		const {version} = view;
-		recordGauges();
-		metrics.recordGauge('configuration.version', version.configuration);
-		metrics.recordGauge('configuration.age_ms', version.configurationAgeMs);
-		metrics.recordGauge('targets.age_ms', version.targetsAgeMs);
-		metrics.recordGauge('process.memory', process.memoryUsage.rss());
-		const rendered = await fromPromise(renderMetrics(metrics.series), error => error as Error);
+		const rendered = await this._renderMetrics();
 		if (rendered.isErr()) {
-			logger.logError('metrics-failed', {detail: rendered.error.message});
+			this._options.logger.logError('metrics-failed', {detail: rendered.error.message});
 			response.writeHead(500, {'content-length': 0});
 			response.end();
 			return;
 		}
 
 		const body = rendered.value;
-		response.writeHead(200, {'content-type': 'text/plain; version=0.0.4; charset=utf-8', 'content-length': Buffer.byteLength(body)});
+		response.writeHead(200, {'content-type': 'text/plain; version=0.0.4; charset=utf-8', 'content-length': body.length});
 		response.end(body);
 	}
+
+	/** Renders the metrics once for all requests that arrive meanwhile. Each rendering takes heap, which many pipelined requests would use up. */
+	private async _renderMetrics(): Promise<Result<Uint8Array, Error>> {
+		this._rendering ??= this._startRendering();
+		try {
+			return await this._rendering;
+		} finally {
+			this._rendering = undefined;
+		}
+	}
+
+	private async _startRendering(): Promise<Result<Uint8Array, Error>> {
+		const {view, metrics, recordGauges} = this._options;
+		const {version} = view;
+		recordGauges();
+		metrics.recordGauge('configuration.version', version.configuration);
+		metrics.recordGauge('configuration.age_ms', version.configurationAgeMs);
+		metrics.recordGauge('targets.age_ms', version.targetsAgeMs);
+		metrics.recordGauge('process.memory', process.memoryUsage.rss());
+		const rendered = await fromPromise(renderMetrics(metrics.series), error => error as Error);
+		return rendered.map(text => Buffer.from(text));
+	}
 }
