Grant slots and cold permits to one of the requests that await the same probes

Cause: requests that await the same probes choose their target in the same turn, before one of them is granted the slot, so all of them took the last slot of a target or the permit of a cold one. A request that was granted while a target was warm could also be written with the permit of another one. A chosen target is now rated again when the slot is granted, and a permit belongs to the request that took it.

Instances also rank targets by a constant preference of their own, so that those with little traffic reuse connections; its effect has not been measured yet.

--- a/src/controllers/gateway/background-work.test.ts
+++ b/src/controllers/gateway/background-work.test.ts
@@ -208,7 +208,7 @@
 		};
 		throwOnce(prober, 'probe');
 		const pool = add(new TargetPool({
-			service: {name: 's', healthPath: '/health', connectionsPerTarget: 10}, failureDomain: 'a', clock, random, prober: prober as unknown as TargetProber, logger, metrics,
+			service: {name: 's', healthPath: '/health', connectionsPerTarget: 10}, instanceId: 'e-1', failureDomain: 'a', clock, random, prober: prober as unknown as TargetProber, logger, metrics,
 			getMaxConnections: () => 2, maxResponseBytes: 1000, getProbeRate: () => 1000, onRelease: () => undefined, onLeaving: () => undefined,
 		}));
 		pool.update([{...gatewayTarget, slots: 6, warmUpLeftMs: 0}]);
@@ -236,6 +236,7 @@
 			serviceTimes: {usualMs: 1, meanMs: 1}, inFlight: 1, size: 1, isExhausted: () => false, computePauseMs: () => 0, computePermitWaitMs: () => 0,
 			chooseFromReports: () => isByReport ? choice : undefined,
 			chooseWithProbes: async () => choice,
+			confirmChoice: () => choice,
 			grant: () => ({target: {id: 'i-1'}} as unknown as TargetLease),
 		};
 		throwOnce(pool as unknown as Methods<string>, method);
--- a/src/controllers/gateway/placement-contention.test.ts
+++ b/src/controllers/gateway/placement-contention.test.ts
@@ -80,6 +80,7 @@
 					};
 					return target === undefined ? undefined : choice as unknown as TargetChoice;
 				},
+				confirmChoice: (choice: TargetChoice) => choice,
 				grant(choice: TargetChoice) {
 					const {target, priority} = choice as unknown as {target: number; priority: number};
 					running[target]!++;
--- a/src/controllers/gateway/placement-controller.ts
+++ b/src/controllers/gateway/placement-controller.ts
@@ -178,6 +178,7 @@
 		const {limits, instance} = settings;
 		const pool = new TargetPool({
 			service,
+			instanceId: instance.id,
 			failureDomain: instance.failureDomain,
 			clock,
 			random,
--- a/src/controllers/gateway/pooled-target.ts
+++ b/src/controllers/gateway/pooled-target.ts
@@ -8,6 +8,8 @@
 	/** Target and incarnation. */
 	readonly key: string;
 	/** Whether the target has been removed from the pool. */
+	/** Constant by which this instance ranks the target behind others, 0 to 1; it differs between instances. */
+	readonly preference: number;
 	isRemoved: boolean;
 	/** The probe in progress, shared by all requests that need one meanwhile; undefined when there is none. */
 	pendingProbe: Promise<void> | undefined;
--- a/src/controllers/gateway/service-placer-priorities.test.ts
+++ b/src/controllers/gateway/service-placer-priorities.test.ts
@@ -43,6 +43,7 @@
 			computePermitWaitMs: () => 0,
 			chooseFromReports: choose,
 			chooseWithProbes: async () => choose(),
+			confirmChoice: choose,
 			grant() {
 				freeSlots--;
 				return {target: {id: 'i-1'}} as unknown as TargetLease;
--- a/src/controllers/gateway/service-placer.test.ts
+++ b/src/controllers/gateway/service-placer.test.ts
@@ -53,6 +53,7 @@
 			computePermitWaitMs: () => permitWaitMs,
 			chooseFromReports: () => choice,
 			chooseWithProbes: async () => choice,
+			confirmChoice: () => choice,
 			grant: () => lease,
 		};
 		placer = new ServicePlacer({
--- a/src/controllers/gateway/service-placer.ts
+++ b/src/controllers/gateway/service-placer.ts
@@ -110,8 +110,10 @@
 			return undefined;
 		}
 
-		const choice = await this._options.pool.chooseWithProbes(request);
-		return choice?.isIdle ? this._options.pool.grant(choice) : undefined;
+		const {pool} = this._options;
+		const choice = await pool.chooseWithProbes(request);
+		const confirmed = choice && pool.confirmChoice(choice, request);
+		return confirmed?.isIdle ? pool.grant(confirmed) : undefined;
 	}
 
 	/** Places waiting requests by recent load reports and starts probes for those that cannot be placed by them. Refuses those that can no longer be completed in time. */
@@ -254,13 +256,14 @@
 			return;
 		}
 
-		const isFound = choice !== undefined && this._isAcceptable(choice, waiter);
+		const confirmed = choice && this._options.pool.confirmChoice(choice, waiter.request);
+		const isFound = confirmed !== undefined && this._isAcceptable(confirmed, waiter);
 		if (isFirstLook) {
 			admission.noteLook(isFound, clock.now());
 		}
 
 		if (isFound) {
-			this._grant(waiter, choice);
+			this._grant(waiter, confirmed);
 			this.placeWaiting();
 			return;
 		}
--- a/src/controllers/gateway/target-availability.ts
+++ b/src/controllers/gateway/target-availability.ts
@@ -24,9 +24,9 @@
 		return blockedMs;
 	}
 
-	/** Whether a request that was assigned to a target may still be written. */
-	canSend({isRemoved, key, record}: PooledTarget, now: number): boolean {
-		return !isRemoved && this._pauses.getRemainingMs(key, now) === 0 && this._guards.every(guard => guard.canSend(record, now));
+	/** Whether a request that was assigned to a target at `grantedAt` may still be written. */
+	canSend({isRemoved, key, record}: PooledTarget, grantedAt: number, now: number): boolean {
+		return !isRemoved && this._pauses.getRemainingMs(key, now) === 0 && this._guards.every(guard => guard.canSend(record, grantedAt, now));
 	}
 
 	/** Notes that a request was assigned to a target. */
--- a/src/controllers/gateway/target-pool.test.ts
+++ b/src/controllers/gateway/target-pool.test.ts
@@ -44,6 +44,7 @@
 			service: {
 				name: 's', healthPath: '/health', connectionsPerTarget: 10, warmUpPerSecond: 2,
 			},
+			instanceId: 'e-1',
 			failureDomain: 'a',
 			clock: {now: () => now},
 			random: () => 0,
--- a/src/controllers/gateway/target-pool.ts
+++ b/src/controllers/gateway/target-pool.ts
@@ -7,7 +7,7 @@
 import type {Metrics} from '../../common/metrics.js';
 import {TargetClient} from '../../io/gateway/target-client.js';
 import type {ColdTargetOwners} from '../../policy/gateway/cold-target-owners.js';
-import {computeConcurrencyLimit} from '../../policy/gateway/compute-concurrency-limit.js';
+import {rankMember} from '../../policy/gateway/rank-member.js';
 import {RateLimiter} from '../../policy/gateway/rate-limiter.js';
 import type {TargetGuard} from '../../policy/gateway/target-guard.js';
 import {TargetRecord} from '../../policy/gateway/target-record.js';
@@ -17,6 +17,7 @@
 import {disposeClientWhenIdle} from './dispose-client-when-idle.js';
 import {LoadRefresher} from './load-refresher.js';
 import {TargetAvailability} from './target-availability.js';
+import {TargetChooser} from './target-chooser.js';
 import type {TargetCriteria} from './target-criteria.js';
 import type {TargetChoice} from './target-choice.js';
 import type {TargetLease} from './target-lease.js';
@@ -26,6 +27,7 @@
 
 type TargetPoolOptions = {
 	readonly service: GatewayService;
+	readonly instanceId: string;
 	readonly failureDomain: string;
 	readonly clock: Clock;
 	readonly random: () => number;
@@ -48,14 +50,8 @@
 	readonly onLeaving: (target: GatewayTarget) => void;
 };
 
-/** Targets that may be probed for one request. */
-const maxProbedTargets = 9;
-/** Targets that are probed at the same time for one request. */
-const probeBatchSize = 2;
-/** Largest random addition to a rank, as a factor of the usual time, so that instances do not all probe the same targets. */
-const rankJitter = 0.5;
-/** Gain of rank of a cold target that is owed a request; more than the ranks of others differ. */
-const owedRankGain = 1000;
+/** Number of values of a rank of rendezvous hashing. */
+const hashRange = 2 ** 32;
 /** Time for which unused probes accumulate, in s. The limit is on the long-term average, over a day, and load peaks last some seconds. */
 const probeBurstSeconds = 10;
 
@@ -63,9 +59,9 @@
 export class TargetPool implements DisposableLike {
 	private readonly _pooledTargets = new Map<string, PooledTarget>();
 	private readonly _rater: TargetRater;
-	private readonly _loadRefresher: LoadRefresher;
 	private readonly _coldTargets: ColdTargets;
 	private readonly _availability: TargetAvailability;
+	private readonly _chooser: TargetChooser;
 	private _service: GatewayService;
 
 	constructor(private readonly _options: TargetPoolOptions) {
@@ -75,7 +71,7 @@
 		this._availability = new TargetAvailability([..._options.guards ?? [], ...this._coldTargets.guards]);
 		// The limit is per target on average, so the budget is shared by all targets of the service; those in the own failure domain are probed most.
 		const budget = new RateLimiter({getRate: () => _options.getProbeRate() * this.size, burstSeconds: probeBurstSeconds}, _options.clock.now());
-		this._loadRefresher = new LoadRefresher({
+		const loadRefresher = new LoadRefresher({
 			..._options,
 			rater: this._rater,
 			budget,
@@ -84,6 +80,10 @@
 				this._applyReport(pooledTarget, report, askedAt);
 			},
 		});
+		this._chooser = new TargetChooser({
+			listTargets: () => this._pooledTargets.values(), rater: this._rater, loadRefresher, coldTargets: this._coldTargets,
+			availability: this._availability, clock: _options.clock, random: _options.random,
+		});
 	}
 
 	/** Average durations of the service's requests. */
@@ -143,6 +143,7 @@
 						host: target.host, port: target.port, getMaxConnections: () => getMaxConnections(this._service), maxResponseBytes,
 					}),
 					key,
+					preference: rankMember(target.id, this._options.instanceId) / hashRange,
 					isRemoved: false,
 					pendingProbe: undefined,
 				});
@@ -160,8 +161,18 @@
 	/** Computes the time until the first target accepts requests again, in ms: 0 when one does now, `Infinity` when no time is known. */
 	computePauseMs(excludedTargets: readonly string[]): number {
 		const now = this._options.clock.now();
-		const candidates = this._listNotExcluded(excludedTargets);
-		return candidates.length === 0 ? 0 : Math.min(...candidates.map(pooledTarget => this._availability.computeBlockedMs(pooledTarget, now)));
+		let shortestMs: number | undefined;
+		// Runs for each request and each slot that is freed, and the first target is mostly available.
+		for (const pooledTarget of this._pooledTargets.values()) {
+			if (!excludedTargets.includes(pooledTarget.record.target.id)) {
+				shortestMs = Math.min(shortestMs ?? Number.POSITIVE_INFINITY, this._availability.computeBlockedMs(pooledTarget, now));
+				if (shortestMs === 0) {
+					return 0;
+				}
+			}
+		}
+
+		return shortestMs ?? 0;
 	}
 
 	/** Computes the expected wait of a request for a permit while all targets are cold, in ms, behind others that wait; 0 when a target is not limited. */
@@ -177,23 +188,17 @@
 
 	/** Chooses the best target by recent load reports, without probes; undefined when none is known to have a free slot. */
 	chooseFromReports(criteria: TargetCriteria): TargetChoice | undefined {
-		return this._chooseBest(this._listCandidates(criteria), criteria);
+		return this._chooser.chooseFromReports(criteria);
 	}
 
 	/** Chooses the best target with probes: in batches, the most promising first, until one is idle; undefined when none has a free slot. */
 	async chooseWithProbes(criteria: TargetCriteria): Promise<TargetChoice | undefined> {
-		const now = this._options.clock.now();
-		const candidates = this._listCandidates(criteria).filter(pooledTarget => !this._rater.isKnownBusy(pooledTarget, now)).slice(0, maxProbedTargets);
-		let probedCount = 0;
-		let best = this._chooseBest(candidates, criteria);
-		while (this._rater.reportsLoad !== false && probedCount < candidates.length && best?.isIdle !== true) {
-			const batch = this._sliceBatch(candidates, probedCount);
-			probedCount += batch.length;
-			await this._loadRefresher.refreshAll(batch);
-			best = this._chooseBest(candidates, criteria);
-		}
+		return this._chooser.chooseWithProbes(criteria);
+	}
 
-		return best;
+	/** Rates a target again that was chosen before others could be granted slots; chooses another one when it is no longer idle. */
+	confirmChoice(choice: TargetChoice, criteria: TargetCriteria): TargetChoice | undefined {
+		return this._chooser.confirmChoice(choice, criteria);
 	}
 
 	/** Takes a slot at the chosen target; releasing the lease frees it. */
@@ -203,7 +208,7 @@
 		const lease = createTargetLease(pooledTarget, {
 			rater: this._rater,
 			clock,
-			canSend: () => this._availability.canSend(pooledTarget, clock.now()),
+			canSend: () => this._availability.canSend(pooledTarget, now, clock.now()),
 			onEnd: end => {
 				metrics.countEvent('target.attempts', {service: this._service.name, end});
 			},
@@ -225,55 +230,10 @@
 		this._pooledTargets.clear();
 	}
 
-	/** Returns the next targets to probe. Local ones form a batch of their own, since traffic between failure domains is costly. */
-	private _sliceBatch(candidates: readonly PooledTarget[], probedCount: number): PooledTarget[] {
-		const batch = candidates.slice(probedCount, probedCount + probeBatchSize);
-		const firstRemote = batch.findIndex(pooledTarget => !this._rater.isLocal(pooledTarget));
-		return firstRemote > 0 ? batch.slice(0, firstRemote) : batch;
-	}
-
-	private _chooseBest(candidates: readonly PooledTarget[], {bodyBytes}: TargetCriteria): TargetChoice | undefined {
-		const now = this._options.clock.now();
-		let best: TargetChoice | undefined;
-		for (const pooledTarget of candidates) {
-			const isOwed = this._coldTargets.isOwed(pooledTarget.record, now);
-			const isAvailable = !pooledTarget.isRemoved && this._availability.computeBlockedMs(pooledTarget, now) === 0;
-			const choice = isAvailable && (!pooledTarget.record.isUnhealthy(now) || this._areAllUnhealthy(now)) ? this._rater.rate(pooledTarget, now, bodyBytes, isOwed) : undefined;
-			if (isOwed && choice?.isIdle) {
-				return choice;
-			}
-
-			if (choice?.hasFreeSlot && (best === undefined || choice.estimateMs < best.estimateMs)) {
-				best = choice;
-			}
-		}
-
-		return best;
-	}
-
 	private _listNotExcluded(excludedTargets: readonly string[]): PooledTarget[] {
 		return [...this._pooledTargets.values()].filter(({record}) => !excludedTargets.includes(record.target.id));
 	}
 
-	/** Lists the targets that may have a free slot, the most promising first. */
-	private _listCandidates({excludedTargets}: TargetCriteria): PooledTarget[] {
-		const now = this._options.clock.now();
-		const all = this._listNotExcluded(excludedTargets).filter(pooledTarget => this._availability.computeBlockedMs(pooledTarget, now) === 0);
-		const healthy = all.filter(({record}) => !record.isUnhealthy(now));
-		const notEjected = (healthy.length > 0 ? healthy : all).filter(({record}) => !record.isEjected(now));
-		// When all targets are ejected, requests are sent to them anyway, to detect a recovery.
-		return (notEjected.length > 0 ? notEjected : all)
-			.filter(({record}) => record.inFlight < computeConcurrencyLimit(record.target.slots))
-			.map(pooledTarget => ({pooledTarget, rank: this._rankBeforeProbe(pooledTarget, now)}))
-			.sort((a, b) => a.rank - b.rank)
-			.map(({pooledTarget}) => pooledTarget);
-	}
-
-	/** Ranks a target by what is known before a probe; a cold one that is owed a request comes first. */
-	private _rankBeforeProbe(pooledTarget: PooledTarget, now: number): number {
-		return this._rater.rankBeforeProbe(pooledTarget, now) + (this._options.random() * rankJitter) - (this._coldTargets.isOwed(pooledTarget.record, now) ? owedRankGain : 0);
-	}
-
 	private _applyReport(pooledTarget: PooledTarget, {isLeaving, pauseMs, warmUpLeftMs}: TargetReport, askedAt: number): void {
 		const {clock, metrics, onLeaving} = this._options;
 		if (warmUpLeftMs !== undefined) {
@@ -290,8 +250,4 @@
 			onLeaving(pooledTarget.record.target);
 		}
 	}
-
-	private _areAllUnhealthy(now: number): boolean {
-		return [...this._pooledTargets.values()].every(pooledTarget => pooledTarget.record.isUnhealthy(now) || this._availability.computeBlockedMs(pooledTarget, now) > 0);
-	}
 }
--- a/src/controllers/gateway/target-rater.ts
+++ b/src/controllers/gateway/target-rater.ts
@@ -94,6 +94,11 @@
 		return computeExpectedSlowdown({load, inFlight: record.inFlight, isWarming: record.isWarming(now)});
 	}
 
+	/** Whether the target's load is known: from a recent report, or from this instance's requests in flight while no target has reported its load. */
+	canRate({record}: PooledTarget, now: number): boolean {
+		return this._reportsLoad !== true || (record.getLoad(now)?.ageMs ?? Number.POSITIVE_INFINITY) <= maxKnownAgeMs;
+	}
+
 	/**
 	Rates a target by its report if that is recent, or by this instance's requests in flight while no target has reported its load; undefined when the
 	target's load is not known.
@@ -102,13 +107,12 @@
 	*/
 	rate(pooledTarget: PooledTarget, now: number, bodyBytes: number, isOwed = false): TargetChoice | undefined {
 		const {record} = pooledTarget;
-		const reported = record.getLoad(now);
-		const isKnown = reported !== undefined && reported.ageMs <= maxKnownAgeMs;
-		if (!isKnown && this._reportsLoad === true) {
+		if (!this.canRate(pooledTarget, now)) {
 			return undefined;
 		}
 
-		const load = isKnown ? reported.load : this._assumeLoad(record);
+		const reported = record.getLoad(now);
+		const load = reported !== undefined && reported.ageMs <= maxKnownAgeMs ? reported.load : this._assumeLoad(record);
 		const {inFlight} = record;
 		const expectedSlowdown = computeExpectedSlowdown({load, inFlight, isWarming: record.isWarming(now)});
 		const idleSlowdown = isOwed ? computeExpectedSlowdown({load, inFlight, isWarming: false}) : expectedSlowdown;
--- a/src/policy/gateway/cold-target-guard.test.ts
+++ b/src/policy/gateway/cold-target-guard.test.ts
@@ -19,7 +19,7 @@
 /** One instance of the model: it asks for a permit at each tick, and writes each request some time after its permit. */
 class ModelInstance {
 	readonly known = new Set<string>();
-	readonly waiting: number[] = [];
+	readonly waiting: Array<{grantedAt: number; at: number}> = [];
 	group = 0;
 	isRunning = true;
 	pausedUntil = Number.NEGATIVE_INFINITY;
@@ -59,12 +59,12 @@
 	run(now: number, delayMs: number): number {
 		if (this.guard.computeBlockedMs(this._record, now) === 0) {
 			this.guard.noteGrant(this._record, now);
-			this.waiting.push(now + delayMs);
+			this.waiting.push({grantedAt: now, at: now + delayMs});
 		}
 
-		const due = this.waiting.filter(at => at <= now);
+		const due = this.waiting.filter(({at}) => at <= now);
 		this.waiting.splice(0, due.length);
-		return this.guard.canSend(this._record, now) ? due.length : 0;
+		return due.filter(({grantedAt}) => this.guard.canSend(this._record, grantedAt, now)).length;
 	}
 }
 
@@ -148,7 +148,9 @@
 		const guard = new ColdTargetGuard({owners, getPerSecond: () => perSecond});
 		const record = new TargetRecord({...gatewayTarget, warmUpLeftMs: 30_000}, 0);
 		guard.noteGrant(record, 5000);
-		expect([5000, 5250, 5251, 40_000].map(now => guard.canSend(record, now))).toEqual([true, true, false, true]);
+		expect([5000, 5250, 5251, 40_000].map(now => guard.canSend(record, 5000, now))).toEqual([true, true, false, true]);
+		// Guards against a request that was granted before the target was cold and is written with the permit of another one.
+		expect(guard.canSend(record, 4990, 5000)).toBe(false);
 	});
 
 	// Guards against a cold target that crashes because instances with different views, or after a restart or a pause, each send what only a few may.
--- a/src/policy/gateway/cold-target-guard.ts
+++ b/src/policy/gateway/cold-target-guard.ts
@@ -52,8 +52,9 @@
 		this._permits.set(record.target.id, {grantedAt: now, nextAt: now + this.getSpacingMs(record, now)});
 	}
 
-	canSend(record: TargetRecord, now: number): boolean {
-		return !this.isLimited(record, now) || now - (this._permits.get(record.target.id)?.grantedAt ?? Number.NEGATIVE_INFINITY) <= maxSendDelayMs;
+	canSend(record: TargetRecord, grantedAt: number, now: number): boolean {
+		// A request that was granted while the target was warm has no permit, also when another request took one since.
+		return !this.isLimited(record, now) || (this._permits.get(record.target.id)?.grantedAt === grantedAt && now - grantedAt <= maxSendDelayMs);
 	}
 
 	/** Gets the time between two permits for a cold target, in ms; `Infinity` when this instance gets none. */
--- a/src/policy/gateway/create-evacuation-guard.test.ts
+++ b/src/policy/gateway/create-evacuation-guard.test.ts
@@ -14,9 +14,9 @@
 		const guard = createEvacuationGuard(domain => evacuated.includes(domain));
 		const record = new TargetRecord(gatewayTarget, 0);
 		guard.noteGrant(record, 0);
-		expect(guard.canSend(record, 0)).toBe(true);
+		expect(guard.canSend(record, 0, 0)).toBe(true);
 		evacuated = domains;
 		expect(guard.computeBlockedMs(record, 0)).toBe(blockedMs);
-		expect(guard.canSend(record, 0)).toBe(canSend);
+		expect(guard.canSend(record, 0, 0)).toBe(canSend);
 	});
 });
--- a/src/policy/gateway/target-guard.ts
+++ b/src/policy/gateway/target-guard.ts
@@ -6,6 +6,6 @@
 	computeBlockedMs(record: TargetRecord, now: number): number;
 	/** Notes that a request was assigned to the target. */
 	noteGrant(record: TargetRecord, now: number): void;
-	/** Whether a request that was assigned to the target may still be written. */
-	canSend(record: TargetRecord, now: number): boolean;
+	/** Whether a request that was assigned to the target at `grantedAt` may still be written. */
+	canSend(record: TargetRecord, grantedAt: number, now: number): boolean;
 };
