Divide probes and the slack of the retry budget by where callers are sent

Where callers are sent to few of many instances, those few had an equal share of the fleet's limits and refused probes and retries while most of both was unused: on a site of 126 instances, about 30 get the callers. An instance to which callers are sent now gets a larger part, so that all parts together stay the same; the others keep a quarter of an equal share for callers that still have their address. The part of the retry slack rises only after the window of the budget, since others may have used it before. The effect on callers has not been measured yet.

--- a/src/bin/gateway-daemon.ts
+++ b/src/bin/gateway-daemon.ts
@@ -146,6 +146,7 @@
 				countLocal: () => this._members.localCount,
 				isJoined: () => this._members.isJoined,
 			}),
+			computeTrafficFactor: service => this._entries.computeTrafficFactor(service),
 		}));
 		this._intake = this._store.add(new IntakeController({clock: systemClock, random: Math.random, metrics: this._metrics}));
 		this._responseMemory = new ResponseMemory({
--- a/src/controllers/gateway/entry-controller.ts
+++ b/src/controllers/gateway/entry-controller.ts
@@ -4,6 +4,7 @@
 import {addressTtlMs} from '../../policy/gateway/address-ttl-ms.js';
 import {assignEntries} from '../../policy/gateway/assign-entries.js';
 import type {GatewayMember} from '../../common/gateway/gateway-member.js';
+import {computeTrafficFactor} from '../../policy/gateway/compute-traffic-factor.js';
 import {groupHosts} from '../../policy/gateway/group-hosts.js';
 import type {HostGroup} from '../../policy/gateway/host-group.js';
 import {limitEntries} from '../../policy/gateway/limit-entries.js';
@@ -53,6 +54,15 @@
 		return {addresses: assigned.slice(0, maxAddresses).map(member => member.dataAddress), lifetimeMs: addressTtlMs};
 	}
 
+	/** Computes the share of this instance in limits on the requests to a service, as a factor of an equal share in its failure domain. */
+	computeTrafficFactor(service: string): number {
+		const {instance} = this._options.settings;
+		const {serving, entries} = this._getAssignment(instance.failureDomain);
+		const group = this._groups.find(({services}) => services.includes(service));
+		const assigned = group === undefined ? serving : entries.get(group.name) ?? serving;
+		return computeTrafficFactor({isEntry: assigned.some(({id}) => id === instance.id), entryCount: assigned.length, instanceCount: serving.length});
+	}
+
 	/** Gets the assignment of host names to the instances of a failure domain, cached until configuration, targets or instances change. */
 	private _getAssignment(failureDomain: string): Assignment {
 		const {members} = this._options;
--- a/src/controllers/gateway/placement-controller.test.ts
+++ b/src/controllers/gateway/placement-controller.test.ts
@@ -41,6 +41,7 @@
 				clock,
 				random: () => 0,
 				share,
+				computeTrafficFactor: () => 1,
 			});
 			view.offerConfiguration({
 				version: 1,
--- a/src/controllers/gateway/placement-controller.ts
+++ b/src/controllers/gateway/placement-controller.ts
@@ -15,6 +15,7 @@
 import type {FleetShare} from '../../policy/gateway/fleet-share.js';
 import type {HedgeCapacity} from '../../policy/gateway/hedge-capacity.js';
 import {minRetryAfterMs} from '../../policy/gateway/min-retry-after-ms.js';
+import {TrafficShare} from '../../policy/gateway/traffic-share.js';
 import {RetryBudget} from '../../policy/gateway/retry-budget.js';
 import {listServicePriorities} from '../../policy/gateway/list-service-priorities.js';
 import type {PlacementRequest} from './placement-request.js';
@@ -37,6 +38,8 @@
 	readonly coldTargetOwners?: ColdTargetOwners | undefined;
 	/** Divides limits of the fleet among its instances. */
 	readonly share: Pick<FleetShare, 'divide' | 'divideWindowLimit'>;
+	/** Computes the share of this instance in limits on the requests to a service, as a factor of an equal share. */
+	readonly computeTrafficFactor: (service: string) => number;
 };
 
 type ServiceState = {
@@ -44,6 +47,7 @@
 	readonly placer: ServicePlacer;
 	readonly admission: ServiceAdmission;
 	readonly retryBudget: RetryBudget;
+	readonly traffic: TrafficShare;
 	/** The targets of the service in the last list. */
 	targets: readonly GatewayTarget[];
 };
@@ -69,6 +73,9 @@
 				placer.placeWaiting();
 			}
 		});
+		_options.view.onVersionChange(() => {
+			this._refreshShares();
+		});
 	}
 
 	/** Waits for a slot at a target of the service. An error means that the request has not run. */
@@ -137,6 +144,13 @@
 		}
 	}
 
+	/** Follows the shares of all services, those without requests as well, so that a share that has grown counts from then on. */
+	private _refreshShares(): void {
+		for (const {traffic} of this._services.values()) {
+			traffic.getWindowFactor(this._options.clock.now());
+		}
+	}
+
 	private _updateServices(): void {
 		const {view} = this._options;
 		const services = new Map((view.configuration?.services ?? []).map(service => [service.name, service]));
@@ -176,6 +190,7 @@
 	private _createService(service: GatewayService): ServiceState {
 		const {settings, view, headers, logger, metrics, clock, random, share} = this._options;
 		const {limits, instance} = settings;
+		const traffic = new TrafficShare({computeFactor: () => this._options.computeTrafficFactor(service.name), windowMs: limits.retryWindowMs});
 		const pool = new TargetPool({
 			service,
 			instanceId: instance.id,
@@ -188,7 +203,7 @@
 			coldTargetOwners: this._options.coldTargetOwners,
 			maxResponseBytes: limits.memoryBytes / responseMemoryDivisor,
 			getMaxConnections: ({connectionsPerTarget}) => Math.max(1, Math.floor(share.divide(connectionsPerTarget))),
-			getProbeRate: () => share.divide(limits.probesPerTargetPerSecond),
+			getProbeRate: () => share.divide(limits.probesPerTargetPerSecond) * traffic.factor,
 			guards: [createEvacuationGuard(failureDomain => view.operator.isEvacuated(failureDomain))],
 			onRelease() {
 				placer.placeWaiting();
@@ -205,8 +220,13 @@
 			pool,
 			placer,
 			admission,
+			traffic,
 			targets: [],
-			retryBudget: new RetryBudget({ratio: limits.retryRatio * retryRatioShare, getSlack: () => share.divideWindowLimit(limits.retrySlack), windowMs: limits.retryWindowMs}),
+			retryBudget: new RetryBudget({
+				ratio: limits.retryRatio * retryRatioShare,
+				getSlack: () => share.divideWindowLimit(limits.retrySlack) * traffic.getWindowFactor(clock.now()),
+				windowMs: limits.retryWindowMs,
+			}),
 		};
 	}
 }
--- a/src/policy/gateway/fleet-share.ts
+++ b/src/policy/gateway/fleet-share.ts
@@ -1,4 +1,5 @@
 import type {Clock} from '../../common/clock.js';
+import {WindowMaximum} from './window-maximum.js';
 
 type FleetShareOptions = {
 	readonly clock: Clock;
@@ -12,8 +13,6 @@
 	readonly isJoined: () => boolean;
 };
 
-type Sample = {readonly at: number; readonly count: number};
-
 /** Fraction of the fleet's limits that is used; the rest covers instances that have joined and are not known everywhere yet. */
 const usedFraction = 0.8;
 
@@ -23,20 +22,17 @@
 */
 export class FleetShare {
 	private readonly _startedAt: number;
-	private _samples: Sample[] = [];
+	private readonly _counts: WindowMaximum;
 
 	constructor(private readonly _options: FleetShareOptions) {
 		this._startedAt = _options.clock.now();
+		this._counts = new WindowMaximum(_options.windowMs);
 	}
 
 	/** Counts the instances of the own failure domain among which a limit is divided. */
 	countInstances(): number {
-		const {clock, windowMs, countLocal} = this._options;
-		const now = clock.now();
-		const count = Math.max(1, countLocal());
-		// A new sample removes all that are not larger than itself, so the first is the maximum of the window.
-		this._samples = [...this._samples.filter(sample => sample.count > count && now - sample.at <= windowMs), {at: now, count}];
-		return this._samples[0]?.count ?? count;
+		const {clock, countLocal} = this._options;
+		return this._counts.add(Math.max(1, countLocal()), clock.now());
 	}
 
 	/** Computes this instance's share of a limit on a concurrent or average use. */
--- a/src/policy/gateway/group-hosts.ts
+++ b/src/policy/gateway/group-hosts.ts
@@ -28,6 +28,8 @@
 			sum += slots.get(service) ?? 0;
 		}
 
-		return {name: sortedHosts[0] ?? '', hosts: sortedHosts, slots: sum};
+		return {
+			name: sortedHosts[0] ?? '', hosts: sortedHosts, services: [...component.services].sort(compareTexts), slots: sum,
+		};
 	});
 };
--- a/src/policy/gateway/host-group.ts
+++ b/src/policy/gateway/host-group.ts
@@ -3,6 +3,7 @@
 	/** First of the host names in alphabetical order. */
 	readonly name: string;
 	readonly hosts: readonly string[];
+	readonly services: readonly string[];
 	/** Maximum number of requests that the targets run concurrently. */
 	readonly slots: number;
 };
