Choose hedge delays by the limit and by routes with one objective

Cause: the delay was the 95th percentile whatever the limit, of all routes of a service together, and left only a typical duration until the objective, which half of the hedges exceed. The delay is now the quantile that the limit leaves, among requests with the same objective, and leaves 1.5 typical durations.

--- a/src/controllers/gateway/limited-hedge-source.test.ts
+++ b/src/controllers/gateway/limited-hedge-source.test.ts
@@ -32,36 +32,38 @@
 		}, objectiveMs: 1000, placedAt: now, delayMs: 300,
 	});
 
+	const createSource = (ratio: number) => new LimitedHedgeSource({
+		ratio,
+		placement: {
+			getUsualMs: () => current.usualMs,
+			getHedgeCapacity: () => current,
+			async tryAcquire() {
+				events.push('probed');
+				whileProbing();
+				return hasIdleTarget ? lease as TargetLease : undefined;
+			},
+			tryTakeRetry() {
+				events.push('budget');
+				return true;
+			},
+		},
+		view: {onConfiguration: () => ({dispose: () => undefined})},
+		clock: {now: () => now},
+		metrics: {
+			...disabledMetrics,
+			countEvent(_name, tags) {
+				events.push(tags?.result ?? '');
+			},
+		},
+	});
+
 	beforeEach(() => {
 		now = 0;
 		current = capacity;
 		events = [];
 		whileProbing = () => undefined;
 		hasIdleTarget = true;
-		source = new LimitedHedgeSource({
-			ratio: 0.5,
-			placement: {
-				getUsualMs: () => current.usualMs,
-				getHedgeCapacity: () => current,
-				async tryAcquire() {
-					events.push('probed');
-					whileProbing();
-					return hasIdleTarget ? lease as TargetLease : undefined;
-				},
-				tryTakeRetry() {
-					events.push('budget');
-					return true;
-				},
-			},
-			view: {onConfiguration: () => ({dispose: () => undefined})},
-			clock: {now: () => now},
-			metrics: {
-				...disabledMetrics,
-				countEvent(_name, tags) {
-					events.push(tags?.result ?? '');
-				},
-			},
-		});
+		source = createSource(0.5);
 		source.addRequest('s');
 		source.addRequest('s');
 	});
@@ -99,6 +101,7 @@
 
 	// Guards against a delay that falls with each hedge, since the slow attempts that hedges cut short would not be counted.
 	it('counts slow attempts that were cut short, and ignores those that ended early without a response', () => {
+		source = createSource(0.1);
 		for (let count = 0; count < 40; count++) {
 			const request = createRequest();
 			now += count % 8 === 0 ? 400 : 150;
@@ -108,4 +111,23 @@
 
 		expect(source.notePlaced(createRequest())).toBeGreaterThanOrEqual(400);
 	});
+
+	// Guards against limits that are used up before the slowest requests are hedged, or hardly used.
+	it.each([
+		{ratio: 0.05, shortestMs: 900, longestMs: 950},
+		{ratio: 0.2, shortestMs: 760, longestMs: 800},
+	])('counts as slow the share of requests that may be hedged, $ratio, among those with the same objective', ({ratio, shortestMs, longestMs}) => {
+		source = createSource(ratio);
+		for (let count = 1; count <= 100; count++) {
+			const request = createRequest({objectiveAt: now + 60_000});
+			now += count * 10;
+			source.recordFirstEnd(request, true);
+			source.recordFirstEnd({...request, objectiveMs: 100, placedAt: now - 2000}, true);
+			now = 0;
+		}
+
+		const delayMs = source.notePlaced(createRequest({objectiveAt: 60_000}));
+		expect(delayMs).toBeGreaterThanOrEqual(shortestMs);
+		expect(delayMs).toBeLessThanOrEqual(longestMs + 10);
+	});
 });
--- a/src/controllers/gateway/limited-hedge-source.ts
+++ b/src/controllers/gateway/limited-hedge-source.ts
@@ -22,19 +22,33 @@
 	readonly metrics: Metrics;
 };
 
-type ServiceHedges = {readonly limit: HedgeLimit; readonly durations: HedgeDurations};
+type ServiceHedges = {
+	readonly limit: HedgeLimit;
+	/** Durations by the objective of the route, since the routes of a service differ in the work of their requests. */
+	readonly durations: Map<number, HedgeDurations>;
+};
+
+/** Largest share of requests that count as slow: a hedge of a typical request gains nothing. */
+const maxSlowShare = 0.5;
 
 /** Grants hedges to the slowest requests of each service, within a limit of their own and only while targets have capacity to spare. */
 export class LimitedHedgeSource implements HedgeSource {
 	private readonly _services = new Map<string, ServiceHedges>();
 
 	constructor(private readonly _options: LimitedHedgeSourceOptions) {
-		_options.view.onConfiguration(({services}) => {
+		_options.view.onConfiguration(({services, routes}) => {
 			const names = new Set(services.map(({name}) => name));
-			for (const name of this._services.keys()) {
+			const objectives = new Set(routes.map(({objectiveMs}) => objectiveMs));
+			for (const [name, {durations}] of this._services) {
 				if (!names.has(name)) {
 					this._services.delete(name);
 				}
+
+				for (const objectiveMs of durations.keys()) {
+					if (!objectives.has(objectiveMs)) {
+						durations.delete(objectiveMs);
+					}
+				}
 			}
 		});
 	}
@@ -55,9 +69,11 @@
 		const {placement, objectiveMs} = request;
 		const now = this._options.clock.now();
 		request.placedAt = now;
+		const durations = this._getDurations(request);
 		request.delayMs = computeHedgeDelayMs({
-			quantileMs: this._getService(placement.service).durations.getQuantileMs(now),
-			usualMs: this._options.placement.getUsualMs(placement.service),
+			// With a later quantile, a part of the limit would not be used; with an earlier one, the slowest requests would find it used up.
+			quantileMs: durations.getQuantileMs(1 - Math.min(maxSlowShare, this._options.ratio), now),
+			typicalMs: durations.getQuantileMs(0.5, now) ?? this._options.placement.getUsualMs(placement.service),
 			objectiveMs,
 			objectiveLeftMs: placement.objectiveAt - now,
 		});
@@ -81,7 +97,8 @@
 		}
 	}
 
-	recordFirstEnd({placement, placedAt, delayMs}: HedgeRequest, isComplete: boolean): void {
+	recordFirstEnd(request: HedgeRequest, isComplete: boolean): void {
+		const {placedAt, delayMs} = request;
 		if (placedAt === undefined) {
 			return;
 		}
@@ -89,7 +106,7 @@
 		const now = this._options.clock.now();
 		// Slow attempts that a hedge has cut short belong to the quantile, or it would fall with each of them; what ended early says nothing.
 		if (isComplete || now - placedAt >= delayMs) {
-			this._getService(placement.service).durations.record(now - placedAt, now);
+			this._getDurations(request).record(now - placedAt, now);
 		}
 	}
 
@@ -140,10 +157,21 @@
 	private _getService(service: string): ServiceHedges {
 		let hedges = this._services.get(service);
 		if (hedges === undefined) {
-			hedges = {limit: new HedgeLimit(this._options.ratio), durations: new HedgeDurations()};
+			hedges = {limit: new HedgeLimit(this._options.ratio), durations: new Map()};
 			this._services.set(service, hedges);
 		}
 
 		return hedges;
 	}
+
+	private _getDurations({placement, objectiveMs}: HedgeRequest): HedgeDurations {
+		const {durations} = this._getService(placement.service);
+		let ofRoutes = durations.get(objectiveMs);
+		if (ofRoutes === undefined) {
+			ofRoutes = new HedgeDurations();
+			durations.set(objectiveMs, ofRoutes);
+		}
+
+		return ofRoutes;
+	}
 }
--- a/src/policy/gateway/compute-hedge-delay.ts
+++ b/src/policy/gateway/compute-hedge-delay.ts
@@ -1,8 +1,8 @@
 type HedgeDelayInput = {
-	/** High quantile of the durations of the service's requests, in ms; undefined while too few are known. */
+	/** Duration that the share of requests that may be hedged exceeds, in ms; undefined while too few durations are known. */
 	readonly quantileMs: number | undefined;
-	/** Expected duration at an idle target, in ms. */
-	readonly usualMs: number;
+	/** Duration that half of the requests exceed, in ms. */
+	readonly typicalMs: number;
 	/** Objective of the route, in ms. */
 	readonly objectiveMs: number;
 	/** Time that the first attempt has left until its objective, in ms; negative when that has passed. */
@@ -13,6 +13,8 @@
 const unknownDelayFraction = 0.6;
 /** Shortest delay, in ms: choosing a target with probes takes up to 8 ms, and a request in its last milliseconds is not shortened by a hedge. */
 const minDelayMs = 20;
+/** Longest duration for which a hedge has to leave time, as a multiple of the typical one: with one, half of the hedges would miss the objective. */
+const hedgeDurationFactor = 1.5;
 /** Time for choosing a target and opening a connection to it, in ms. */
 const placingMs = 20;
 /**
@@ -22,12 +24,12 @@
 const lateDelayFactor = 2;
 
 /**
-Computes the time after which the first attempt of a request is hedged, in ms: the quantile of the durations, but not less than the time
-that an idle target takes, and not so late that the hedge would miss an objective that an earlier one meets.
+Computes the time after which the first attempt of a request is hedged, in ms: the quantile of the durations, but not less than the typical
+duration, and not so late that the hedge would miss an objective that an earlier one meets.
 */
-export const computeHedgeDelayMs = ({quantileMs, usualMs, objectiveMs, objectiveLeftMs}: HedgeDelayInput): number => {
-	const minMs = Math.max(minDelayMs, usualMs);
-	const latestMs = objectiveLeftMs - usualMs - placingMs;
+export const computeHedgeDelayMs = ({quantileMs, typicalMs, objectiveMs, objectiveLeftMs}: HedgeDelayInput): number => {
+	const minMs = Math.max(minDelayMs, typicalMs);
+	const latestMs = objectiveLeftMs - (typicalMs * hedgeDurationFactor) - placingMs;
 	const slowMs = quantileMs === undefined ? objectiveMs * unknownDelayFraction : Math.max(minMs, quantileMs);
 	if (latestMs >= minMs) {
 		return Math.min(slowMs, latestMs);
--- a/src/policy/gateway/hedge-durations.test.ts
+++ b/src/policy/gateway/hedge-durations.test.ts
@@ -13,7 +13,7 @@
 			durations.record(index * 10, 0);
 		}
 
-		expect(durations.getQuantileMs(laterMs)).toBe(expected);
+		expect(durations.getQuantileMs(0.95, laterMs)).toBe(expected);
 	});
 
 	// Guards against a quantile that stays at the durations of a load that is over.
@@ -23,6 +23,6 @@
 			durations.record(now < 40_000 ? 900 : 50, now);
 		}
 
-		expect(durations.getQuantileMs(120_000)).toBe(50);
+		expect(durations.getQuantileMs(0.95, 120_000)).toBe(50);
 	});
 });
--- a/src/policy/gateway/hedge-durations.ts
+++ b/src/policy/gateway/hedge-durations.ts
@@ -8,11 +8,10 @@
 const rotationMs = 30_000;
 /** Number of durations from which the quantile is known: with fewer, the slowest one alone would decide it. */
 const minCount = 20;
-const percentile = 95;
 
 const createHistogram = () => new (constructorFromBucketSize(32))(lowestMs, highestMs, significantDigits);
 
-/** A high quantile of the durations of one service's requests in the last tens of seconds. */
+/** Quantiles of the durations of alike requests in the last tens of seconds. */
 export class HedgeDurations {
 	/** Durations of the current interval and the one before. */
 	private _recent = createHistogram();
@@ -28,10 +27,13 @@
 		this._current.recordValue(value);
 	}
 
-	/** Gets the 95th percentile, in ms; undefined while too few durations are known. */
-	getQuantileMs(now: number): number | undefined {
+	/**
+	Gets a quantile, in ms; undefined while too few durations are known.
+	@param fraction - Fraction of the durations that are not longer, 0 to 1.
+	*/
+	getQuantileMs(fraction: number, now: number): number | undefined {
 		this._rotate(now);
-		return this._recent.totalCount < minCount ? undefined : this._recent.getValueAtPercentile(percentile);
+		return this._recent.totalCount < minCount ? undefined : this._recent.getValueAtPercentile(fraction * 100);
 	}
 
 	private _rotate(now: number): void {
