Look in other failure domains sooner while the own one is busy

Callers of a domain at its peak waited while its neighbour idled. The penalty now falls with the share of busy targets in recent reports of the own domain, to none from half of them; it is as before while they are idle.

--- a/src/controllers/gateway/target-pool.test.ts
+++ b/src/controllers/gateway/target-pool.test.ts
@@ -322,4 +322,19 @@
 		const choice = await pool.chooseWithProbes(anyTarget);
 		expect(choice?.pooledTarget.record.target.id).toBe('b-1');
 	});
+
+	// Guards against requests that look only at the busy targets of their own failure domain while the targets of another one idle.
+	it('finds an idle target in another failure domain once those in the own domain are busy', async () => {
+		const ids = [...Array.from({length: 20}, (_item, index) => `a-${index}`), 'b-1'];
+		loads = new Map(ids.map(id => [id, id === 'b-1' ? idle : {...idle, running: 6}]));
+		pool = createPool(ids);
+		const found: Array<string | undefined> = [];
+		for (let look = 0; look < 4; look++) {
+			const choice = await pool.chooseWithProbes(anyTarget);
+			found.push(choice?.pooledTarget.record.target.id);
+			now += 100;
+		}
+
+		expect(found.filter(id => id === 'b-1').length).toBeGreaterThanOrEqual(2);
+	});
 });
--- a/src/controllers/gateway/target-rater.ts
+++ b/src/controllers/gateway/target-rater.ts
@@ -1,5 +1,6 @@
 import type {TargetLoad} from '../../common/gateway/target-load.js';
 import {computeExpectedSlowdown} from '../../policy/gateway/compute-expected-slowdown.js';
+import {BusyShare} from '../../policy/gateway/busy-share.js';
 import {computeConcurrencyLimit} from '../../policy/gateway/compute-concurrency-limit.js';
 import {estimateDuration} from '../../policy/gateway/estimate-duration.js';
 import type {TargetRecord} from '../../policy/gateway/target-record.js';
@@ -9,8 +10,10 @@
 
 /** Age up to which a report affects the order of probes, in ms. The load of other processes on a target's machine changes several times a second. */
 const maxHintAgeMs = 200;
-/** Penalty on the rank of a target in another failure domain, as a factor of the usual time. */
+/** Penalty on the rank of a target in another failure domain while those in the own domain are idle, as a factor of the usual time. */
 const remoteCost = 1;
+/** Share of busy targets in the own failure domain from which others have no penalty: looking for a free one there takes longer than the transfer. */
+const shortageShare = 0.5;
 /** Time that a kilobyte of a request body counts for a target in another failure domain, in ms: a large body goes there only when that saves much time. */
 const remoteMsPerKilobyte = 2;
 /** Penalty on the rank of a target without an idle connection, as a factor of the usual time, since new connections have a cost. */
@@ -28,12 +31,16 @@
 /** Slowdown assumed for a target without a recent report, as a factor of the usual time. */
 const assumedSlowdown = 1.5;
 
+const isBusy = ({running, waiting, slots, slowdown}: TargetLoad): boolean => slowdown > busyFactor || running + waiting >= computeConcurrencyLimit(slots);
+
 /** Rates the targets of one service by their load reports and by the results of this instance's requests. */
 export class TargetRater {
 	/** Average durations of the service's requests. */
 	readonly serviceTimes = new ServiceTimeAverages();
 	/** Whether the service's targets report their load; undefined until a response shows it. */
 	private _reportsLoad: boolean | undefined;
+	/** Share of busy targets in the own failure domain, which tells how long a request is expected to look for a slot there. */
+	private readonly _localBusyShare = new BusyShare();
 
 	/** @param _failureDomain - Failure domain of this instance. */
 	constructor(private readonly _failureDomain: string) {}
@@ -53,6 +60,9 @@
 		} else {
 			this._reportsLoad = true;
 			record.recordLoad(load, now);
+			if (record.target.failureDomain === this._failureDomain) {
+				this._localBusyShare.noteReport(isBusy(load), now);
+			}
 		}
 	}
 
@@ -73,8 +83,7 @@
 			return false;
 		}
 
-		const {running, waiting, slots, slowdown} = reported.load;
-		return slowdown > busyFactor || running + waiting >= computeConcurrencyLimit(slots);
+		return isBusy(reported.load);
 	}
 
 	/** Ranks a target by what is known before a probe, as a factor of the usual time; the target with the lowest rank is probed first. */
@@ -85,7 +94,7 @@
 		const slowdown = isHint ? reported.load.slowdown : assumedSlowdown;
 		const occupied = Math.max(record.inFlight, isHint ? reported.load.running + reported.load.waiting : 0);
 		return (slowdown * record.getDurationRatio(now)) + (2 * (occupied / record.target.slots))
-			+ (this.isLocal(pooledTarget) ? 0 : remoteCost) + (client.hasIdleConnection ? 0 : connectCost);
+			+ (this.isLocal(pooledTarget) ? 0 : this._computeRemoteCost(now)) + (client.hasIdleConnection ? 0 : connectCost);
 	}
 
 	/** Computes the expected duration of a request that starts now, as a factor of the usual time. */
@@ -127,6 +136,11 @@
 		};
 	}
 
+	/** Computes the penalty on the rank of a target in another failure domain, by how busy the targets of the own one are. */
+	private _computeRemoteCost(now: number): number {
+		return remoteCost * Math.max(0, 1 - (this._localBusyShare.getShare(now) / shortageShare));
+	}
+
 	private _assumeLoad({inFlight, target}: TargetRecord): TargetLoad {
 		return {
 			running: inFlight, waiting: 0, slots: target.slots, slowdown: assumedSlowdown,
