--- a/src/controllers/gateway/limited-hedge-source.ts
+++ b/src/controllers/gateway/limited-hedge-source.ts
@@ -28,8 +28,8 @@
 	readonly durations: Map<number, HedgeDurations>;
 };
 
-/** Largest share of requests that count as slow: a hedge of a typical request gains nothing. */
-const maxSlowShare = 0.5;
+/** Share of the requests that count as slow, as a fraction of the limit: slow requests come in groups, and with more of them the slowest would find the limit used up. */
+const slowFraction = 0.33;
 
 /** Grants hedges to the slowest requests of each service, within a limit of their own and only while targets have capacity to spare. */
 export class LimitedHedgeSource implements HedgeSource {
@@ -71,8 +71,7 @@
 		request.placedAt = now;
 		const durations = this._getDurations(request);
 		request.delayMs = computeHedgeDelayMs({
-			// With a later quantile, a part of the limit would not be used; with an earlier one, the slowest requests would find it used up.
-			quantileMs: durations.getQuantileMs(1 - Math.min(maxSlowShare, this._options.ratio), now),
+			quantileMs: durations.getQuantileMs(1 - (this._options.ratio * slowFraction), now),
 			typicalMs: durations.getQuantileMs(0.5, now) ?? this._options.placement.getUsualMs(placement.service),
 			objectiveMs,
 			objectiveLeftMs: placement.objectiveAt - now,
--- a/src/policy/gateway/compute-hedge-delay.ts
+++ b/src/policy/gateway/compute-hedge-delay.ts
@@ -13,8 +13,8 @@
 const unknownDelayFraction = 0.6;
 /** Shortest delay, in ms: choosing a target with probes takes up to 8 ms, and a request in its last milliseconds is not shortened by a hedge. */
 const minDelayMs = 20;
-/** Longest duration for which a hedge has to leave time, as a multiple of the typical one: with one, half of the hedges would miss the objective. */
-const hedgeDurationFactor = 1.5;
+/** Duration for which a hedge has to leave time, as a multiple of the typical one: with one, half of the hedges would miss the objective; a larger one hedges requests that are not slow. */
+const hedgeDurationFactor = 1.25;
 /** Time for choosing a target and opening a connection to it, in ms. */
 const placingMs = 20;
 /**
