--- a/src/policy/gateway/compute-hedge-delay.ts
+++ b/src/policy/gateway/compute-hedge-delay.ts
@@ -17,11 +17,6 @@
 const hedgeDurationFactor = 1.25;
 /** Time for choosing a target and opening a connection to it, in ms. */
 const placingMs = 20;
-/**
-Delay of a request that can't meet its objective even with a hedge, as a multiple of the quantile. Such a hedge gains little unless the
-first attempt is lost, and takes one from a request that could still be in time.
-*/
-const lateDelayFactor = 2;
 
 /**
 Computes the time after which the first attempt of a request is hedged, in ms: the quantile of the durations, but not less than the typical
@@ -31,9 +26,5 @@
 	const minMs = Math.max(minDelayMs, typicalMs);
 	const latestMs = objectiveLeftMs - (typicalMs * hedgeDurationFactor) - placingMs;
 	const slowMs = quantileMs === undefined ? objectiveMs * unknownDelayFraction : Math.max(minMs, quantileMs);
-	if (latestMs >= minMs) {
-		return Math.min(slowMs, latestMs);
-	}
-
-	return quantileMs === undefined ? slowMs : slowMs * lateDelayFactor;
+	return latestMs >= minMs ? Math.min(slowMs, latestMs) : slowMs;
 };
