Drop bodies that idle connections kept in memory

Each open connection of a caller kept the body of its last request: its account referred to the request, and the request's listeners to the collector of the body, whose memory had been released in the account. Each connection to a target kept its first request and response, by a close listener that was added while it connected. A response that its caller does not read also kept the body of its request.

The collector and the context drop the body when its memory is released, the account notes only whether the rest of a body follows, and the listener is removed once the connection is open.

--- a/src/common/byte-collector.ts
+++ b/src/common/byte-collector.ts
@@ -54,6 +54,15 @@
 		return [...this._fullBlocks, this._block.subarray(0, this._blockLength)].filter(({length}) => length > 0);
 	}
 
+	/** Drops the collected bytes, so that whoever still references the collector does not keep them in memory. */
+	clear(): void {
+		this._fullBlocks.length = 0;
+		this._block = new Uint8Array(0);
+		this._blockLength = 0;
+		this._length = 0;
+		this._capacity = 0;
+	}
+
 	/** Merges the collected bytes; copies them unless they are in one block. */
 	mergeBlocks(): Uint8Array<ArrayBuffer> {
 		const last = this._block.subarray(0, this._blockLength);
--- a/src/controllers/gateway/client-connection.ts
+++ b/src/controllers/gateway/client-connection.ts
@@ -16,7 +16,9 @@
 	/** Bytes that the socket may have read at most until it is closed, once the response to an incomplete request was sent. */
 	maxBytesRead = Number.POSITIVE_INFINITY;
 	private readonly _openRequests = new Map<ServerResponse, OpenRequest>();
-	private _lastRequest: IncomingMessage | undefined;
+	private _hasHadRequests = false;
+	/** Whether the rest of a body follows an answered request. The request itself is not kept, since it refers to its head and, by its listeners, to more. */
+	private _isBodyPending = false;
 	private _movedBytes = 0;
 
 	constructor(readonly socket: Socket) {}
@@ -27,7 +29,7 @@
 	}
 
 	get isIdle(): boolean {
-		return this._openRequests.size === 0 && this._lastRequest?.complete === true;
+		return this._openRequests.size === 0 && this._hasHadRequests && !this._isBodyPending;
 	}
 
 	/** Whether the client has sent or read enough since the last check, or is served. */
@@ -37,11 +39,20 @@
 
 	addRequest(request: IncomingMessage, response: ServerResponse): void {
 		this._openRequests.set(response, {request, response});
-		this._lastRequest = request;
+		this._hasHadRequests = true;
+		this._isBodyPending = false;
 		this.stalledChecks = 0;
 	}
 
 	removeRequest(response: ServerResponse): void {
+		const request = this._openRequests.get(response)?.request;
+		if (request?.complete === false) {
+			this._isBodyPending = true;
+			request.once('end', () => {
+				this._isBodyPending = false;
+			});
+		}
+
 		this._openRequests.delete(response);
 		this.stalledChecks = 0;
 	}
--- a/src/filters/gateway/body-filter.ts
+++ b/src/filters/gateway/body-filter.ts
@@ -72,6 +72,9 @@
 			context.body = {length: collector.length, blocks: collector.listBlocks()};
 			return await next(context);
 		} finally {
+			// The context and listeners of the request outlive it, the latter for as long as Node.js or the connection's account refers to the request.
+			collector.clear();
+			context.body = {length: 0, blocks: []};
 			clients.release(socket, takenBytes);
 		}
 	}
--- a/src/io/gateway/target-client.ts
+++ b/src/io/gateway/target-client.ts
@@ -262,13 +262,17 @@
 			const timer = setTimeout(() => {
 				socket.destroy(new Error(`no connection within ${connectTimeoutMs} ms`));
 			}, connectTimeoutMs);
-			socket.once('connect', () => {
+			const stopTimer = () => {
 				clearTimeout(timer);
+			};
+
+			socket.once('connect', () => {
+				stopTimer();
+				// The connection is reused; a listener would keep its first request and response in memory until it closes.
+				socket.off('close', stopTimer);
 				onConnected();
 			});
-			socket.once('close', () => {
-				clearTimeout(timer);
-			});
+			socket.once('close', stopTimer);
 		});
 	}
 }
