Move the refusals of waiting requests out of ServicePlacer

WaitingRefusals now refuses displaced and hopeless requests of the queue. Behaviour does not change.

--- a/src/controllers/gateway/service-placer.ts
+++ b/src/controllers/gateway/service-placer.ts
@@ -8,8 +8,6 @@
 import {reportTaskFailure} from '../../io/report-task-failure.js';
 import {runTask} from '../../io/run-task.js';
 import {canTakeSlot} from '../../policy/gateway/can-take-slot.js';
-import {findDisplaced} from '../../policy/gateway/find-displaced.js';
-import {minRetryAfterMs} from '../../policy/gateway/min-retry-after-ms.js';
 import {RequestQueue} from '../../policy/gateway/request-queue.js';
 import {PlacementRefusals} from './placement-refusals.js';
 import type {PlacementRequest} from './placement-request.js';
@@ -18,6 +16,7 @@
 import type {TargetChoice} from './target-choice.js';
 import type {TargetLease} from './target-lease.js';
 import type {TargetPool} from './target-pool.js';
+import {WaitingRefusals} from './waiting-refusals.js';
 
 type ServicePlacerOptions = {
 	readonly pool: TargetPool;
@@ -41,9 +40,13 @@
 	private _recheckAt = Number.NEGATIVE_INFINITY;
 	private _timer: NodeJS.Timeout | undefined;
 	private readonly _refusals: PlacementRefusals;
+	private readonly _waitingRefusals: WaitingRefusals;
 
 	constructor(private readonly _options: ServicePlacerOptions) {
 		this._refusals = new PlacementRefusals(_options);
+		this._waitingRefusals = new WaitingRefusals({
+			..._options, waiters: this._waiters, refusals: this._refusals, lookingCount: maxProbingRequests,
+		});
 	}
 
 	/** Number of requests that wait for a slot. */
@@ -63,7 +66,7 @@
 		}
 
 		this._options.admission.noteArrival(request.priority);
-		const refusal = this._refusals.findRefusal(request, this._describeQueue(this.predictWaitMs(request.priority)));
+		const refusal = this._refusals.findRefusal(request, this._waitingRefusals.describeQueue(this.predictWaitMs(request.priority)));
 		if (refusal !== undefined) {
 			return err(refusal);
 		}
@@ -90,7 +93,7 @@
 				waiter.settle(err(request.signal.reason as RequestError));
 			}, {once: true});
 			this._waiters.add(waiter);
-			this._refuseDisplaced(waiter);
+			this._waitingRefusals.refuseDisplaced(waiter);
 			this.placeWaiting();
 		});
 	}
@@ -101,7 +104,7 @@
 	*/
 	predictWaitMs(priority: number): number {
 		const {clock, pool} = this._options;
-		return this._waiters.countTimely(clock.now() + pool.serviceTimes.usualMs, priority) * this._msPerSlot;
+		return this._waiters.countTimely(clock.now() + pool.serviceTimes.usualMs, priority) * this._waitingRefusals.msPerSlot;
 	}
 
 	/** Takes a slot at an idle target without queueing, for a hedge; undefined when none is found or other requests wait. */
@@ -119,7 +122,7 @@
 	/** Places waiting requests by recent load reports and starts probes for those that cannot be placed by them. Refuses those that can no longer be completed in time. */
 	placeWaiting(): void {
 		const {clock, pool, admission} = this._options;
-		this._refuseHopeless();
+		this._waitingRefusals.refuseHopeless();
 		const unplaced: PlacementWaiter[] = [];
 		for (let waiter = this._takeNext(); waiter !== undefined; waiter = this._takeNext()) {
 			try {
@@ -154,16 +157,6 @@
 		clearTimeout(this._timer);
 	}
 
-	/** Expected time between two slots that become free for the queue, in ms. */
-	private get _msPerSlot(): number {
-		const {pool} = this._options;
-		return pool.serviceTimes.meanMs / Math.max(1, pool.inFlight);
-	}
-
-	private _describeQueue(waitMs: number) {
-		return {length: this._waiters.length, msPerSlot: this._msPerSlot, waitMs};
-	}
-
 	private _takeNext(): PlacementWaiter | undefined {
 		const {clock, pool, admission} = this._options;
 		const earliestEnd = clock.now() + pool.serviceTimes.usualMs;
@@ -176,48 +169,6 @@
 		waiter.settle(ok(pool.grant(choice)));
 	}
 
-	/** Refuses the less urgent requests that can no longer be served in time behind an urgent one that has arrived. */
-	private _refuseDisplaced({priority, objectiveAt}: PlacementWaiter): void {
-		const {clock, pool, admission} = this._options;
-		const {usualMs} = pool.serviceTimes;
-		const now = clock.now();
-		if (!admission.isActive || objectiveAt < now + usualMs) {
-			return;
-		}
-
-		const displaced = findDisplaced(this._waiters.items, {
-			priority, now, usualMs, msPerSlot: this._msPerSlot, lookingCount: maxProbingRequests,
-		});
-		for (const {item, waitMs} of displaced.filter(({item}) => !admission.isEntitled(item.priority))) {
-			this._waiters.remove(item);
-			item.settle(err(this._refusals.createQueueError(item.request, this._describeQueue(waitMs))));
-		}
-	}
-
-	/**
-	Refuses the waiting requests that even an idle target is not expected to complete before their deadline, or all when no target is
-	left, so that callers can use the time that they have left. A request for which no target was looked for yet is kept: otherwise a usual time above the timeouts would never be corrected.
-	*/
-	private _refuseHopeless(): void {
-		const {clock, pool} = this._options;
-		if (pool.size === 0) {
-			for (const waiter of this._waiters.takeMatching(() => true)) {
-				waiter.settle(err(this._refusals.createNoTargetError(waiter.request.service)));
-			}
-		}
-
-		const areAllBlocked = pool.computePauseMs([]) === Number.POSITIVE_INFINITY;
-		const isBlocked = ({request: {excludedTargets}}: PlacementWaiter): boolean => excludedTargets.length === 0 ? areAllBlocked : pool.computePauseMs(excludedTargets) === Number.POSITIVE_INFINITY;
-		for (const {request, settle} of this._waiters.takeMatching(waiter => isBlocked(waiter))) {
-			settle(err(this._refusals.createBlockedError(request.service, Number.POSITIVE_INFINITY)));
-		}
-
-		const earliestEnd = clock.now() + pool.serviceTimes.usualMs;
-		for (const waiter of this._waiters.takeMatching(({request, hasProbed}) => hasProbed && request.deadlineAt < earliestEnd)) {
-			waiter.settle(err(new RequestError(ErrorKind.DeadlineUnreachable, `no slot of service "${waiter.request.service}" was free in time`, minRetryAfterMs)));
-		}
-	}
-
 	private _isAcceptable(choice: TargetChoice, {request, hasProbed}: PlacementWaiter): boolean {
 		const {clock, pool} = this._options;
 		// Without probes, a better target may be unknown, so only an idle one is accepted.
