Send no hedges for a service whose slots are scarce

Hedges looked only at requests that wait on the same instance and at recent reports, so they took slots that requests of other instances competed for.

ServicePlacer.tryAcquire grants none while the scarcity level is above 0, before and after targets are probed; this covers both sources of hedges. Services with one priority have level 0 and hedge as before.

--- a/src/controllers/gateway/service-placer-priorities.test.ts
+++ b/src/controllers/gateway/service-placer-priorities.test.ts
@@ -18,12 +18,14 @@
 
 describe('ServicePlacer with requests of different priorities', () => {
 	let freeSlots: number;
+	let now: number;
 	let ends: string[];
 	let placer: ServicePlacer;
 
 	beforeEach(() => {
 		vi.useFakeTimers();
 		freeSlots = 0;
+		now = 0;
 		ends = [];
 	});
 
@@ -52,10 +54,14 @@
 		const admission = new ServiceAdmission(() => 0);
 		admission.setPriorities(priorities);
 		placer = new ServicePlacer({
-			pool: pool as unknown as TargetPool, admission, clock: {now: () => 0}, logger: silentLogger, metrics: disabledMetrics,
+			pool: pool as unknown as TargetPool, admission, clock: {now: () => now}, logger: silentLogger, metrics: disabledMetrics,
 		});
 	};
 
+	const createRequest = (priority: number, objectiveAt: number, deadlineAt: number): PlacementRequest => ({
+		service: 's', priority, objectiveAt, deadlineAt, excludedTargets: [], bodyBytes: 0, signal: new AbortController().signal,
+	});
+
 	const sendRequest = async (name: string, request: PlacementRequest) => {
 		const result: Result<TargetLease, RequestError> = await placer.acquire(request);
 		ends.push(`${name} ${result.match(() => 'placed', ({kind}) => kind)}`);
@@ -64,9 +70,7 @@
 	/** Sends requests one after the other; each adds its name and its end to the list when it is settled. */
 	const sendRequests = async (requests: ReadonlyArray<readonly [name: string, priority: number, objectiveAt: number, deadlineAt?: number]>) => {
 		for (const [name, priority, objectiveAt, deadlineAt = 9000] of requests) {
-			void sendRequest(name, {
-				service: 's', priority, objectiveAt, deadlineAt, excludedTargets: [], bodyBytes: 0, signal: new AbortController().signal,
-			});
+			void sendRequest(name, createRequest(priority, objectiveAt, deadlineAt));
 			await vi.advanceTimersByTimeAsync(1);
 		}
 	};
@@ -125,6 +129,22 @@
 		expect(ends).toEqual(['c1 placed', 'urgent placed']);
 	});
 
+	// Guards against hedges that take slots from the requests of other instances during a shortage.
+	it.each<readonly [string, ReadonlyArray<{priority: number; objectiveMs: number}>, boolean]>([
+		['sends no hedge while slots are scarce', twoPriorities, false],
+		['sends hedges where the routes have one priority', [{priority: 0, objectiveMs: 400}], true],
+	])('%s', async (_name, priorities, isGranted) => {
+		createPlacer(priorities);
+		await sendRequests([['u1', 0, 9000]]);
+		now = 1000;
+		await sendRequests([['u2', 0, 9000]]);
+		freeSlots = 3;
+		placer.placeWaiting();
+		await vi.advanceTimersByTimeAsync(1);
+		expect(ends).toEqual(['u1 placed', 'u2 placed']);
+		expect(await placer.tryAcquire(createRequest(0, 9000, 9000)) !== undefined).toBe(isGranted);
+	});
+
 	it('keeps order and refusals where the routes have one priority', async () => {
 		createPlacer([{priority: 2, objectiveMs: 1500}]);
 		await sendRequests([['late', 2, 50], ['b', 2, 700], ['a', 2, 600], ['c', 2, 800], ['refused', 2, 350]]);
--- a/src/controllers/gateway/service-placer.ts
+++ b/src/controllers/gateway/service-placer.ts
@@ -107,16 +107,17 @@
 		return this._waiters.countTimely(clock.now() + pool.serviceTimes.usualMs, priority) * this._waitingRefusals.msPerSlot;
 	}
 
-	/** Takes a slot at an idle target without queueing, for a hedge; undefined when none is found or other requests wait. */
+	/** Takes a slot at an idle target without queueing, for a hedge; undefined when none is found, other requests wait or slots are scarce. */
 	async tryAcquire(request: PlacementRequest): Promise<TargetLease | undefined> {
-		if (this._waiters.length > 0) {
+		if (!this._canHedge()) {
 			return undefined;
 		}
 
 		const {pool} = this._options;
 		const choice = await pool.chooseWithProbes(request);
 		const confirmed = choice && pool.confirmChoice(choice, request);
-		return confirmed?.isIdle ? pool.grant(confirmed) : undefined;
+		// The level may have risen while targets were probed.
+		return confirmed?.isIdle && this._canHedge() ? pool.grant(confirmed) : undefined;
 	}
 
 	/** Places waiting requests by recent load reports and starts probes for those that cannot be placed by them. Refuses those that can no longer be completed in time. */
@@ -157,6 +158,11 @@
 		clearTimeout(this._timer);
 	}
 
+	private _canHedge(): boolean {
+		const {admission, clock} = this._options;
+		return this._waiters.length === 0 && admission.updateLevel(clock.now()) === 0;
+	}
+
 	private _takeNext(): PlacementWaiter | undefined {
 		const {clock, pool, admission} = this._options;
 		const earliestEnd = clock.now() + pool.serviceTimes.usualMs;
