Refuse late requests at once at scarcity levels 3 and 4

At these levels a late request never looked for a slot again, yet waited until its deadline could not be met, up to 20 s. Late requests that returned looked once at arrival and took slots from timely ones.

A late request of a class that has got its floor is refused with queue-full: at arrival when its objective has passed, else after its first look, and when the level rises. Retry-After is at least the time that the level needs to fall to 1, at most a third of the time that is left, the first refused first. A refusal does not change the share of failed looks and keeps the level from being reset for lack of looks.

Callers get refusals seconds earlier and see queue-full in place of deadline-unreachable; operators see more in admission.refused.

--- a/src/controllers/gateway/service-admission.ts
+++ b/src/controllers/gateway/service-admission.ts
@@ -1,5 +1,6 @@
 import type {ServicePriority} from '../../common/gateway/service-priority.js';
 import {canContend} from '../../policy/gateway/can-contend.js';
+import {canStayQueued} from '../../policy/gateway/can-stay-queued.js';
 import {ClassFloor} from '../../policy/gateway/class-floor.js';
 import {minRetryAfterMs} from '../../policy/gateway/min-retry-after-ms.js';
 import {ReturnSchedule} from '../../policy/gateway/return-schedule.js';
@@ -12,6 +13,8 @@
 	readonly priority: number;
 };
 
+type Waiter = Parameters<typeof canStayQueued>[0] & {readonly priority: number};
+
 type Refusal = Parameters<ReturnSchedule['schedule']>[0];
 
 /** Divides the capacity of one service by the priorities of its routes. Has no effect while they have one priority. */
@@ -74,6 +77,21 @@
 		);
 	}
 
+	/** Whether a request stays in the queue, or is refused since it is late and would not look for a slot again. */
+	canStayQueued(waiter: Waiter, usualMs: number, now: number): boolean {
+		return canStayQueued(waiter, {level: this.updateLevel(now), isStarved: this._floor.isStarved(waiter.priority), usualMs}, now);
+	}
+
+	/** Records a late request that was refused because of the level. */
+	noteLateRefusal(now: number): void {
+		this._scarcity.noteRefusal(now);
+	}
+
+	/** Computes the time until late requests are expected to find a slot, in ms. */
+	computeFallMs(): number {
+		return this._scarcity.computeFallMs();
+	}
+
 	/** Computes the retry-after time of a request that is refused because of its expected wait, in ms. */
 	computeRetryAfterMs(refusal: Refusal): number {
 		return this.isActive ? this._returns.schedule({...refusal, waitMs: Math.max(refusal.waitMs, this._scarcity.computeFallMs())}) : Math.max(minRetryAfterMs, refusal.waitMs);
--- a/src/controllers/gateway/service-placer-priorities.test.ts
+++ b/src/controllers/gateway/service-placer-priorities.test.ts
@@ -14,12 +14,15 @@
 import type {TargetPool} from './target-pool.js';
 
 const usualMs = 100;
+type Row = readonly [name: string, priority: number, objectiveAt: number, deadlineAt?: number];
+
 const twoPriorities = [{priority: 0, objectiveMs: 400}, {priority: 2, objectiveMs: 1500}];
 
 describe('ServicePlacer with requests of different priorities', () => {
 	let freeSlots: number;
 	let now: number;
 	let ends: string[];
+	let retryAfterTimes: number[];
 	let placer: ServicePlacer;
 
 	beforeEach(() => {
@@ -27,6 +30,7 @@
 		freeSlots = 0;
 		now = 0;
 		ends = [];
+		retryAfterTimes = [];
 	});
 
 	afterEach(() => {
@@ -64,11 +68,15 @@
 
 	const sendRequest = async (name: string, request: PlacementRequest) => {
 		const result: Result<TargetLease, RequestError> = await placer.acquire(request);
+		if (result.isErr()) {
+			retryAfterTimes.push(result.error.retryAfterMs!);
+		}
+
 		ends.push(`${name} ${result.match(() => 'placed', ({kind}) => kind)}`);
 	};
 
 	/** Sends requests one after the other; each adds its name and its end to the list when it is settled. */
-	const sendRequests = async (requests: ReadonlyArray<readonly [name: string, priority: number, objectiveAt: number, deadlineAt?: number]>) => {
+	const sendRequests = async (requests: readonly Row[]) => {
 		for (const [name, priority, objectiveAt, deadlineAt = 9000] of requests) {
 			void sendRequest(name, createRequest(priority, objectiveAt, deadlineAt));
 			await vi.advanceTimersByTimeAsync(1);
@@ -145,6 +153,54 @@
 		expect(await placer.tryAcquire(createRequest(0, 9000, 9000)) !== undefined).toBe(isGranted);
 	});
 
+	/** Sends urgent requests that find no slot, until the scarcity level is 4, and places them without the time going on. */
+	const raiseLevel = async () => {
+		for (let count = 0; count < 10; count++) {
+			now += 500;
+			await sendRequests([['urgent', 0, 99_000, 99_000]]);
+			// Updates the level.
+			placer.placeWaiting();
+		}
+
+		freeSlots = 10;
+		for (let count = 0; count < 10; count++) {
+			placer.placeWaiting();
+			await vi.advanceTimersByTimeAsync(1);
+		}
+
+		freeSlots = 0;
+		ends = ends.filter(end => end !== 'urgent placed');
+	};
+
+	// Guards against late requests that wait for up to 20 s until their deadline although they never look for a slot.
+	it.each<readonly [string, readonly Row[], readonly Row[], number, number]>([
+		['arrive with their objective passed', [], [['late', 2, 4900, 14_000]], 5000, 3000],
+		['are late when the level rises', [['late', 2, 50, 50_000]], [], 5000, 2000],
+		['become late in the queue', [], [['late', 2, 5500, 14_000]], 5401, 8599 / 3],
+	])('refuses requests that %s at once in a severe shortage', async (...[, before, after, endAt, retryAfterMs]) => {
+		createPlacer(twoPriorities);
+		await sendRequests(before);
+		await raiseLevel();
+		await sendRequests(after);
+		now = endAt - 1;
+		placer.placeWaiting();
+		await vi.advanceTimersByTimeAsync(1);
+		expect(ends).toEqual(endAt > 5000 ? [] : [`late ${ErrorKind.QueueFull}`]);
+		now = endAt;
+		placer.placeWaiting();
+		await vi.advanceTimersByTimeAsync(1);
+		expect(ends).toEqual([`late ${ErrorKind.QueueFull}`]);
+		expect(retryAfterTimes[0]).toBeCloseTo(retryAfterMs);
+	});
+
+	it('lets late requests of a class below its floor compete, and refuses the others when it has got its floor, the first to return first', async () => {
+		createPlacer(twoPriorities);
+		await sendRequests([['a', 2, 10, 50_000], ['b', 2, 20, 50_000], ['c', 2, 30, 50_000], ['d', 2, 40, 50_000]]);
+		await raiseLevel();
+		expect(ends).toEqual(['a placed', ...['b', 'c', 'd'].map(name => `${name} ${ErrorKind.QueueFull}`)]);
+		expect(retryAfterTimes).toEqual([3000, 3100, 3200]);
+	});
+
 	it('keeps order and refusals where the routes have one priority', async () => {
 		createPlacer([{priority: 2, objectiveMs: 1500}]);
 		await sendRequests([['late', 2, 50], ['b', 2, 700], ['a', 2, 600], ['c', 2, 800], ['refused', 2, 350]]);
--- a/src/controllers/gateway/waiting-refusals.ts
+++ b/src/controllers/gateway/waiting-refusals.ts
@@ -74,5 +74,17 @@
 		for (const waiter of waiters.takeMatching(({request, hasProbed}) => hasProbed && request.deadlineAt < earliestEnd)) {
 			waiter.settle(err(new RequestError(ErrorKind.DeadlineUnreachable, `no slot of service "${waiter.request.service}" was free in time`, minRetryAfterMs)));
 		}
+
+		this._refuseLate();
+	}
+
+	/** Refuses the late requests that would not look for a slot again before the shortage ends. */
+	private _refuseLate(): void {
+		const {clock, pool, admission, waiters, refusals} = this._options;
+		const now = clock.now();
+		for (const waiter of waiters.takeMatching(waiter => !admission.canStayQueued(waiter, pool.serviceTimes.usualMs, now))) {
+			admission.noteLateRefusal(now);
+			waiter.settle(err(refusals.createQueueError(waiter.request, this.describeQueue(admission.computeFallMs()))));
+		}
 	}
 }
--- a/src/policy/gateway/can-contend.ts
+++ b/src/policy/gateway/can-contend.ts
@@ -1,3 +1,4 @@
+import {lateLookIntervalsMs} from './late-look-intervals-ms.js';
 import {maxScarcityLevel} from './max-scarcity-level.js';
 
 type Contender = {
@@ -21,8 +22,6 @@
 
 /** Time in which a request of the next lower priority competes for slots at the highest level, as a fraction of that of the priority above it. */
 const rankWindowFactor = 0.8;
-/** Shortest time between two looks of a late request at the targets, in ms, by level. */
-const lateLookIntervalsMs = [0, 200, 1000, Number.POSITIVE_INFINITY, Number.POSITIVE_INFINITY];
 
 /**
 Decides whether a request competes for a free slot yet. During a shortage a less urgent one lets others go first for as long as it can still
--- a/src/policy/gateway/scarcity-level.test.ts
+++ b/src/policy/gateway/scarcity-level.test.ts
@@ -46,6 +46,15 @@
 		expect(level.update(8100)).toBe(0);
 	});
 
+	// Guards against a level that falls to 0 and rises again because late requests are refused without a look.
+	it('is not 0 while requests are refused because of it', () => {
+		const level = new ScarcityLevel();
+		runLevel(level, {failedShare: 1, looksPerSecond: 10}, 0, 3000);
+		level.noteRefusal(7000);
+		expect(level.update(11_900)).toBe(maxScarcityLevel);
+		expect(level.update(12_000)).toBe(0);
+	});
+
 	it.each([
 		['no shortage', 0, 0],
 		['the worst shortage, step by step', 1, (maxScarcityLevel - 1) * 1000],
--- a/src/policy/gateway/scarcity-level.ts
+++ b/src/policy/gateway/scarcity-level.ts
@@ -14,13 +14,15 @@
 const fallIntervalMs = 1000;
 /** Level at which late requests still look for slots regularly. */
 const slightLevel = 1;
-/** Time without looks after which the level is 0, in ms, since nothing is known then. */
+/** Time without looks and refusals after which the level is 0, in ms, since nothing is known then. */
 const idleMs = 5000;
 
 /** Level of the shortage of one service, from 0 to `maxScarcityLevel`. It follows the share of requests that found no slot at their first look at the targets; it rises within two seconds and falls slowly. */
 export class ScarcityLevel {
 	private _failedShare = 0;
 	private _lookedAt = Number.NEGATIVE_INFINITY;
+	/** Time of the last look or refusal, in ms. */
+	private _activeAt = Number.NEGATIVE_INFINITY;
 	private _level = 0;
 	private _steppedAt = Number.NEGATIVE_INFINITY;
 	/** Since when the share has been low enough for a step down, in ms; undefined while it is not. */
@@ -36,11 +38,17 @@
 		const weight = Math.min(maxLookWeight, 1 - Math.exp((this._lookedAt - now) / averageMs));
 		this._failedShare += ((isFound ? 0 : 1) - this._failedShare) * weight;
 		this._lookedAt = now;
+		this._activeAt = now;
+	}
+
+	/** Records a request that was refused without a look because of the level. Refusals must not let the level fall for lack of looks: it would rise again with the first requests that are let in. */
+	noteRefusal(now: number): void {
+		this._activeAt = now;
 	}
 
 	/** Moves the level by a step if it is due, and returns it. */
 	update(now: number): number {
-		if (now - this._lookedAt >= idleMs) {
+		if (now - this._activeAt >= idleMs) {
 			this._failedShare = 0;
 			this._level = 0;
 		}
