Explain where a request would be sent, on the listener of the metrics

Operators could see why a request went to a target only afterwards, from logs. `GET /place?method=&host=&path=&bodyBytes=` answers it from the state of an instance: version and ages, route, refusal, and for each service of the route the scarcity level, the expected wait, the targets in order of preference and how many are excluded and why.

The state that decisions change (shares and permits of cold targets, class credits, scarcity level, times of return, limit of probes) is copied, and the classes that decide for requests decide on the copies: TargetPool.createPreview, ServiceAdmission.createCopy. The choice without probes moved from TargetChooser to TargetSelector and the waits from TargetPool to TargetWaits, so that both can run on copies; requests are decided as before. Guards name the reason for which they keep requests away.

dry-run-effects.test.ts compares the whole state of a service before and after.

--- a/src/bin/gateway-daemon.ts
+++ b/src/bin/gateway-daemon.ts
@@ -187,12 +187,12 @@
 			metrics: this._metrics,
 			logger,
 			isServing: () => this._isServing,
-			recordGauges: () => {
-				this._placement.recordGauges();
-				this._clients.recordGauges();
-				this._metrics.recordGauge('intake.waiting', this._intake.waitingCount);
-				this._metrics.recordGauge('response.held_bytes', this._responseMemory.heldBytes);
-			},
+			instance: settings.instance,
+			placement: this._placement,
+			shutdown: this._shutdown,
+			clients: this._clients,
+			intake: this._intake,
+			responseMemory: this._responseMemory,
 		});
 		this._listeners = this._store.add(new GatewayListeners({
 			settings,
--- a/src/bin/gateway-endpoints.ts
+++ b/src/bin/gateway-endpoints.ts
@@ -2,13 +2,22 @@
 import process from 'node:process';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {fromPromise, type Result} from 'neverthrow';
+import type {GatewaySettings} from '../common/gateway/gateway-settings.js';
 import type {SiteInterface} from '../common/gateway/site-interface.js';
 import type {Logger} from '../common/logger.js';
+import type {ClientConnections} from '../controllers/gateway/client-connections.js';
 import type {EntryController} from '../controllers/gateway/entry-controller.js';
+import type {IntakeController} from '../controllers/gateway/intake-controller.js';
+import type {PlacementController} from '../controllers/gateway/placement-controller.js';
+import {PlacementExplainer} from '../controllers/gateway/placement-explainer.js';
 import type {SiteView} from '../controllers/gateway/site-view.js';
+import type {ShutdownController} from '../controllers/shutdown-controller.js';
 import {parseRequestTarget} from '../policy/parse-request-target.js';
 import {renderMetrics} from '../io/gateway/render-metrics.js';
 import type {ScrapedMetrics} from '../io/gateway/scraped-metrics.js';
+import {systemClock} from '../io/system-clock.js';
+import type {ResponseMemory} from '../policy/gateway/response-memory.js';
+import {PlaceEndpoint} from './place-endpoint.js';
 
 type GatewayEndpointsOptions = {
 	readonly site: SiteInterface;
@@ -18,15 +27,26 @@
 	readonly logger: Logger;
 	/** Whether the instance accepts callers. */
 	readonly isServing: () => boolean;
-	/** Records the gauges of the controllers; called before the metrics are rendered. */
-	readonly recordGauges: () => void;
+	/** Instance that the endpoints describe. */
+	readonly instance: GatewaySettings['instance'];
+	readonly placement: PlacementController;
+	readonly shutdown: ShutdownController;
+	readonly clients: ClientConnections;
+	readonly intake: IntakeController;
+	readonly responseMemory: ResponseMemory;
 };
 
+const placePath = '/place';
+
 /** Answers what is asked about a gateway itself: whether it is ready, which addresses callers should use, and its metrics. */
 export class GatewayEndpoints {
 	private _rendering: Promise<Result<Uint8Array, Error>> | undefined;
 
-	constructor(private readonly _options: GatewayEndpointsOptions) {}
+	private readonly _place: PlaceEndpoint;
+
+	constructor(private readonly _options: GatewayEndpointsOptions) {
+		this._place = new PlaceEndpoint(new PlacementExplainer({..._options, clock: systemClock}));
+	}
 
 	handleReadiness(request: IncomingMessage, response: ServerResponse): void {
 		const {site, isServing} = this._options;
@@ -50,7 +70,17 @@
 		response.end(body);
 	}
 
-	async handleMetrics(response: ServerResponse): Promise<void> {
+	/** Answers a question of an operator: for a dry run on its path, else for the metrics. */
+	async handleOperator(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		const {path, query} = parseRequestTarget(request.url ?? '/');
+		if (path === placePath) {
+			this._place.handle(request, query, response);
+		} else {
+			await this._handleMetrics(response);
+		}
+	}
+
+	private async _handleMetrics(response: ServerResponse): Promise<void> {
 		const rendered = await this._renderMetrics();
 		if (rendered.isErr()) {
 			this._options.logger.logError('metrics-failed', {detail: rendered.error.message});
@@ -75,9 +105,12 @@
 	}
 
 	private async _startRendering(): Promise<Result<Uint8Array, Error>> {
-		const {view, metrics, recordGauges} = this._options;
+		const {view, metrics, placement, clients, intake, responseMemory} = this._options;
 		const {version} = view;
-		recordGauges();
+		placement.recordGauges();
+		clients.recordGauges();
+		metrics.recordGauge('intake.waiting', intake.waitingCount);
+		metrics.recordGauge('response.held_bytes', responseMemory.heldBytes);
 		metrics.recordGauge('configuration.version', version.configuration);
 		metrics.recordGauge('configuration.age_ms', version.configurationAgeMs);
 		metrics.recordGauge('targets.age_ms', version.targetsAgeMs);
--- a/src/bin/gateway-listeners.ts
+++ b/src/bin/gateway-listeners.ts
@@ -80,8 +80,8 @@
 		this._peer.server.on('connection', (socket: Socket) => {
 			peerMeter.add(socket);
 		});
-		this._metrics = this._createListener({}, async (_request, response) => {
-			await endpoints.handleMetrics(response);
+		this._metrics = this._createListener({}, async (request, response) => {
+			await endpoints.handleOperator(request, response);
 		});
 		this._headMemory = this._store.add(new HeadMemory({limitBytes: settings.limits.memoryBytes / headMemoryDivisor, logger: notableLogger}));
 		for (const {server} of [callerListener.listener, this._readiness, this._route, this._peer, this._metrics]) {
--- a/src/controllers/gateway/cold-targets.ts
+++ b/src/controllers/gateway/cold-targets.ts
@@ -3,6 +3,7 @@
 import type {GatewayTarget} from '../../common/gateway/gateway-target.js';
 import type {Logger} from '../../common/logger.js';
 import type {Metrics} from '../../common/metrics.js';
+import {disabledMetrics} from '../../io/disabled-metrics.js';
 import {ColdTargetGuard} from '../../policy/gateway/cold-target-guard.js';
 import type {ColdTargetOwners} from '../../policy/gateway/cold-target-owners.js';
 import {computePermitWaitMs} from '../../policy/gateway/compute-permit-wait-ms.js';
@@ -22,9 +23,14 @@
 export class ColdTargets {
 	private readonly _guard: ColdTargetGuard | undefined;
 
-	constructor(private readonly _options: ColdTargetsOptions, private readonly _getService: () => GatewayService) {
+	constructor(private readonly _options: ColdTargetsOptions, private readonly _getService: () => GatewayService, guard?: ColdTargetGuard) {
 		const {coldTargetOwners: owners} = _options;
-		this._guard = owners && new ColdTargetGuard({owners, getPerSecond: () => _getService().warmUpPerSecond});
+		this._guard = guard ?? (owners && new ColdTargetGuard({owners, getPerSecond: () => _getService().warmUpPerSecond}));
+	}
+
+	/** Creates a copy with other owners whose changes do not reach this one and that counts nothing, for a dry run. */
+	createCopy(owners: ColdTargetsOptions['coldTargetOwners']): ColdTargets {
+		return new ColdTargets({...this._options, metrics: disabledMetrics}, this._getService, owners && this._guard?.createCopy(owners));
 	}
 
 	/** The guards that keep requests away from cold targets. */
--- a/src/controllers/gateway/placement-controller.ts
+++ b/src/controllers/gateway/placement-controller.ts
@@ -6,6 +6,7 @@
 import type {GatewayTarget} from '../../common/gateway/gateway-target.js';
 import type {GatewaySettings} from '../../common/gateway/gateway-settings.js';
 import type {HeaderVocabulary} from '../../common/gateway/header-vocabulary.js';
+import type {ServiceExplanation} from '../../common/gateway/service-explanation.js';
 import type {Logger} from '../../common/logger.js';
 import type {Metrics} from '../../common/metrics.js';
 import {RequestError} from '../../common/request-error.js';
@@ -17,6 +18,7 @@
 import {minRetryAfterMs} from '../../policy/gateway/min-retry-after-ms.js';
 import {RetryBudget} from '../../policy/gateway/retry-budget.js';
 import {listServicePriorities} from '../../policy/gateway/list-service-priorities.js';
+import {explainService} from './explain-service.js';
 import type {PlacementRequest} from './placement-request.js';
 import {ServiceAdmission} from './service-admission.js';
 import {ServicePlacer} from './service-placer.js';
@@ -71,6 +73,25 @@
 		});
 	}
 
+	/**
+	Explains what a service would do with a request that arrives now, without sending it; nothing changes.
+	@param share - Fraction of the requests of the route that go to the service.
+	*/
+	explain(request: Omit<PlacementRequest, 'signal'>, share: number): ServiceExplanation | undefined {
+		const {clock, coldTargetOwners} = this._options;
+		const state = this._services.get(request.service);
+		return state && explainService({
+			request,
+			share,
+			placer: state.placer,
+			pool: state.pool,
+			admission: state.admission,
+			coldTargetOwners,
+			leavingCount: state.targets.filter(({isLeaving}) => isLeaving).length,
+			clock,
+		});
+	}
+
 	/** Waits for a slot at a target of the service. An error means that the request has not run. */
 	async acquire(request: PlacementRequest): Promise<Result<TargetLease, RequestError>> {
 		const placer = this._services.get(request.service)?.placer;
--- a/src/controllers/gateway/placement-refusals.ts
+++ b/src/controllers/gateway/placement-refusals.ts
@@ -8,12 +8,14 @@
 import type {TargetPool} from './target-pool.js';
 
 type PlacementRefusalsOptions = {
-	readonly pool: TargetPool;
-	readonly admission: ServiceAdmission;
+	readonly pool: Pick<TargetPool, 'size' | 'serviceTimes' | 'isExhausted' | 'computePauseMs' | 'computePermitWaitMs'>;
+	readonly admission: Pick<ServiceAdmission, 'isEntitled' | 'computeRetryAfterMs'>;
 	readonly clock: Clock;
 	readonly metrics: Metrics;
 };
 
+type PlacementTerms = Omit<PlacementRequest, 'signal'>;
+
 type QueueState = {
 	/** Number of requests that wait. */
 	readonly length: number;
@@ -28,9 +30,9 @@
 	constructor(private readonly _options: PlacementRefusalsOptions) {}
 
 	/** Finds the reason for which a request that arrives has to be refused: no target is left, none accepts requests in time, or it would miss its objective behind the queued ones. Undefined when there is none. */
-	findRefusal(request: PlacementRequest, queue: QueueState): RequestError | undefined {
-		const {clock, pool, admission} = this._options;
-		const {service, excludedTargets, objectiveAt, deadlineAt, priority} = request;
+	findRefusal(request: PlacementTerms, queue: QueueState): RequestError | undefined {
+		const {clock, pool} = this._options;
+		const {service, excludedTargets, objectiveAt, deadlineAt} = request;
 		if (pool.size === 0) {
 			return this.createNoTargetError(service);
 		}
@@ -44,10 +46,16 @@
 			return this.createBlockedError(service, pauseMs);
 		}
 
-		const waitMs = Math.max(admission.isEntitled(priority) ? 0 : queue.waitMs, pool.computePermitWaitMs(excludedTargets, queue.length));
+		const waitMs = this.computeWaitMs(request, queue);
 		return waitMs > 0 && clock.now() + waitMs > objectiveAt - pool.serviceTimes.usualMs ? this.createQueueError(request, {...queue, waitMs}) : undefined;
 	}
 
+	/** Computes the expected wait of a request behind the queued ones and for a permit, in ms; `Infinity` when no time is known. */
+	computeWaitMs({priority, excludedTargets}: PlacementTerms, queue: QueueState): number {
+		const {pool, admission} = this._options;
+		return Math.max(admission.isEntitled(priority) ? 0 : queue.waitMs, pool.computePermitWaitMs(excludedTargets, queue.length));
+	}
+
 	createNoTargetError(service: string): RequestError {
 		return new RequestError(ErrorKind.NoTarget, `service "${service}" has no target`, minRetryAfterMs);
 	}
@@ -60,7 +68,7 @@
 	}
 
 	/** Creates the error of a request that would wait too long, and counts it. */
-	createQueueError({service, priority, deadlineAt}: PlacementRequest, {length, msPerSlot, waitMs}: QueueState): RequestError {
+	createQueueError({service, priority, deadlineAt}: PlacementTerms, {length, msPerSlot, waitMs}: QueueState): RequestError {
 		const {clock, admission, metrics} = this._options;
 		metrics.countEvent('admission.refused', {service, priority: String(priority)});
 		const detail = `${length} requests of service "${service}" are queued; the expected wait is ${Math.round(waitMs)} ms`;
--- a/src/controllers/gateway/service-admission.ts
+++ b/src/controllers/gateway/service-admission.ts
@@ -16,14 +16,14 @@
 
 /** Divides the capacity of one service by the priorities of its routes. Has no effect while they have one priority. */
 export class ServiceAdmission {
-	private readonly _floor = new ClassFloor();
-	private readonly _scarcity = new ScarcityLevel();
-	private readonly _returns: ReturnSchedule;
 	private _priorities: readonly ServicePriority[] = [];
 
-	constructor(random: () => number) {
-		this._returns = new ReturnSchedule(random);
-	}
+	constructor(
+		random: () => number,
+		private readonly _floor = new ClassFloor(),
+		private readonly _scarcity = new ScarcityLevel(),
+		private readonly _returns = new ReturnSchedule(random),
+	) {}
 
 	/** Whether the routes of the service have different priorities. */
 	get isActive(): boolean {
@@ -45,6 +45,13 @@
 		return this.isActive && priority !== this._priorities[0]?.priority && this._floor.isStarved(priority);
 	}
 
+	/** Creates a copy whose changes do not reach this one, for a dry run. */
+	createCopy(): ServiceAdmission {
+		const copy = new ServiceAdmission(() => 0, this._floor.createCopy(), this._scarcity.createCopy(), this._returns.createCopy());
+		copy.setPriorities(this._priorities);
+		return copy;
+	}
+
 	noteArrival(priority: number): void {
 		this._floor.noteArrival(priority);
 	}
--- a/src/controllers/gateway/service-placer.ts
+++ b/src/controllers/gateway/service-placer.ts
@@ -63,7 +63,7 @@
 		}
 
 		this._options.admission.noteArrival(request.priority);
-		const refusal = this._refusals.findRefusal(request, this._describeQueue(this.predictWaitMs(request.priority)));
+		const refusal = this._refusals.findRefusal(request, this.predictQueue(request.priority));
 		if (refusal !== undefined) {
 			return err(refusal);
 		}
@@ -104,6 +104,11 @@
 		return this._waiters.countTimely(clock.now() + pool.serviceTimes.usualMs, priority) * this._msPerSlot;
 	}
 
+	/** Predicts the queue that a request that arrives now finds. */
+	predictQueue(priority: number) {
+		return this._describeQueue(this.predictWaitMs(priority));
+	}
+
 	/** Takes a slot at an idle target without queueing, for a hedge; undefined when none is found or other requests wait. */
 	async tryAcquire(request: PlacementRequest): Promise<TargetLease | undefined> {
 		if (this._waiters.length > 0) {
--- a/src/controllers/gateway/target-pool.test.ts
+++ b/src/controllers/gateway/target-pool.test.ts
@@ -3,6 +3,7 @@
 } from 'vitest';
 import {gatewayTarget} from '../../../test/support/gateway-target.js';
 import {AttemptEnd} from '../../common/gateway/attempt-end.js';
+import {ExclusionReason} from '../../common/gateway/exclusion-reason.js';
 import type {TargetLoad} from '../../common/gateway/target-load.js';
 import type {TargetReport} from '../../common/gateway/target-report.js';
 import {silentLogger} from '../../../test/support/silent-logger.js';
@@ -236,7 +237,7 @@
 		const granted: string[] = [];
 		const blocked = new Map<string, number>(Object.entries(blockedMs));
 		guards = [{
-			computeBlockedMs: ({target}) => blocked.get(target.id) ?? 0,
+			reason: ExclusionReason.Paused, computeBlockedMs: ({target}) => blocked.get(target.id) ?? 0,
 			noteGrant(record) {
 				granted.push(record.target.id);
 			},
@@ -315,7 +316,9 @@
 
 	// Guards against requests that find no target because the healthy ones are out of use.
 	it('chooses an unhealthy target when guards keep requests away from all healthy ones', async () => {
-		guards = [{computeBlockedMs: ({target}) => target.id === 'a-1' ? Number.POSITIVE_INFINITY : 0, noteGrant: () => undefined, canSend: () => true}];
+		guards = [{
+			reason: ExclusionReason.Paused, computeBlockedMs: ({target}) => target.id === 'a-1' ? Number.POSITIVE_INFINITY : 0, noteGrant: () => undefined, canSend: () => true,
+		}];
 		unhealthyIds = ['b-1'];
 		loads = new Map([['a-1', idle], ['b-1', idle]]);
 		pool = createPool(['a-1', 'b-1']);
--- a/src/controllers/gateway/target-pool.ts
+++ b/src/controllers/gateway/target-pool.ts
@@ -23,7 +23,10 @@
 import type {TargetLease} from './target-lease.js';
 import type {PooledTarget} from './pooled-target.js';
 import type {TargetProber} from './target-prober.js';
+import {TargetPreview} from './target-preview.js';
 import {TargetRater} from './target-rater.js';
+import {TargetSelector} from './target-selector.js';
+import {TargetWaits} from './target-waits.js';
 
 type TargetPoolOptions = {
 	readonly service: GatewayService;
@@ -61,7 +64,9 @@
 	private readonly _rater: TargetRater;
 	private readonly _coldTargets: ColdTargets;
 	private readonly _availability: TargetAvailability;
+	private readonly _probeBudget: RateLimiter;
 	private readonly _chooser: TargetChooser;
+	private readonly _waits: TargetWaits;
 	private _service: GatewayService;
 
 	constructor(private readonly _options: TargetPoolOptions) {
@@ -70,20 +75,21 @@
 		this._coldTargets = new ColdTargets(_options, () => this._service);
 		this._availability = new TargetAvailability([..._options.guards ?? [], ...this._coldTargets.guards]);
 		// The limit is per target on average, so the budget is shared by all targets of the service; those in the own failure domain are probed most.
-		const budget = new RateLimiter({getRate: () => _options.getProbeRate() * this.size, burstSeconds: probeBurstSeconds}, _options.clock.now());
+		this._probeBudget = new RateLimiter({getRate: () => _options.getProbeRate() * this.size, burstSeconds: probeBurstSeconds}, _options.clock.now());
 		const loadRefresher = new LoadRefresher({
 			..._options,
 			rater: this._rater,
-			budget,
+			budget: this._probeBudget,
 			getService: () => this._service,
 			onReport: (pooledTarget, report, askedAt) => {
 				this._applyReport(pooledTarget, report, askedAt);
 			},
 		});
-		this._chooser = new TargetChooser({
-			listTargets: () => this._pooledTargets.values(), rater: this._rater, loadRefresher, coldTargets: this._coldTargets,
-			availability: this._availability, clock: _options.clock, random: _options.random,
-		});
+		const parts = {
+			listTargets: () => this._pooledTargets.values(), rater: this._rater, coldTargets: this._coldTargets, availability: this._availability, clock: _options.clock, random: _options.random,
+		};
+		this._chooser = new TargetChooser({selector: new TargetSelector(parts), rater: this._rater, loadRefresher});
+		this._waits = new TargetWaits(parts);
 	}
 
 	/** Average durations of the service's requests. */
@@ -155,30 +161,34 @@
 
 	/** Whether all targets are excluded. */
 	isExhausted(excludedTargets: readonly string[]): boolean {
-		return [...this._pooledTargets.values()].every(({record}) => excludedTargets.includes(record.target.id));
+		return this._waits.isExhausted(excludedTargets);
 	}
 
 	/** Computes the time until the first target accepts requests again, in ms: 0 when one does now, `Infinity` when no time is known. */
 	computePauseMs(excludedTargets: readonly string[]): number {
-		const now = this._options.clock.now();
-		let shortestMs: number | undefined;
-		// Runs for each request and each slot that is freed, and the first target is mostly available.
-		for (const pooledTarget of this._pooledTargets.values()) {
-			if (!excludedTargets.includes(pooledTarget.record.target.id)) {
-				shortestMs = Math.min(shortestMs ?? Number.POSITIVE_INFINITY, this._availability.computeBlockedMs(pooledTarget, now));
-				if (shortestMs === 0) {
-					return 0;
-				}
-			}
-		}
-
-		return shortestMs ?? 0;
+		return this._waits.computePauseMs(excludedTargets);
 	}
 
 	/** Computes the expected wait of a request for a permit while all targets are cold, in ms, behind others that wait; 0 when a target is not limited. */
 	computePermitWaitMs(excludedTargets: readonly string[], aheadCount: number): number {
-		const candidates = this._listNotExcluded(excludedTargets);
-		return this._coldTargets.computePermitWaitMs(candidates, aheadCount, (pooledTarget, now) => this._availability.computeBlockedMs(pooledTarget, now));
+		return this._waits.computePermitWaitMs(excludedTargets, aheadCount);
+	}
+
+	/**
+	Creates the view of the targets on which a dry run decides; nothing that it does has an effect on the pool.
+	@param owners - Copy of the owners of cold targets, if there are any.
+	*/
+	createPreview(owners: TargetPoolOptions['coldTargetOwners']): TargetPreview {
+		const {clock, guards = []} = this._options;
+		const coldTargets = this._coldTargets.createCopy(owners);
+		return new TargetPreview({
+			listTargets: () => this._pooledTargets.values(),
+			rater: this._rater,
+			coldTargets,
+			availability: this._availability.createWithGuards([...guards, ...coldTargets.guards]),
+			probeBudget: this._probeBudget.createCopy(),
+			clock,
+		});
 	}
 
 	/** Lists the last load report of each target; undefined for those without one. */
@@ -230,10 +240,6 @@
 		this._pooledTargets.clear();
 	}
 
-	private _listNotExcluded(excludedTargets: readonly string[]): PooledTarget[] {
-		return [...this._pooledTargets.values()].filter(({record}) => !excludedTargets.includes(record.target.id));
-	}
-
 	private _applyReport(pooledTarget: PooledTarget, {isLeaving, pauseMs, warmUpLeftMs}: TargetReport, askedAt: number): void {
 		const {clock, metrics, onLeaving} = this._options;
 		if (warmUpLeftMs !== undefined) {
--- a/src/policy/gateway/class-floor.ts
+++ b/src/policy/gateway/class-floor.ts
@@ -6,7 +6,12 @@
 
 /** Counts the requests of each priority that arrive and those that get a slot, so that no class starves. */
 export class ClassFloor {
-	private readonly _credits = new Map<number, number>();
+	constructor(private readonly _credits = new Map<number, number>()) {}
+
+	/** Creates a copy whose changes do not reach this one, for a dry run. */
+	createCopy(): ClassFloor {
+		return new ClassFloor(new Map(this._credits));
+	}
 
 	/** Whether a class has got less than its minimum share of slots. */
 	isStarved(priority: number): boolean {
--- a/src/policy/gateway/cold-target-guard.ts
+++ b/src/policy/gateway/cold-target-guard.ts
@@ -1,3 +1,4 @@
+import {ExclusionReason} from '../../common/gateway/exclusion-reason.js';
 import type {ColdTargetOwners} from './cold-target-owners.js';
 import type {TargetGuard} from './target-guard.js';
 import type {TargetRecord} from './target-record.js';
@@ -19,9 +20,14 @@
 
 /** Limits the requests of this instance to the cold targets of one service: a permit per request, none accumulate, and none is returned. */
 export class ColdTargetGuard implements TargetGuard {
-	private readonly _permits = new Map<string, Permit>();
+	readonly reason = ExclusionReason.ColdWithoutPermit;
 
-	constructor(private readonly _options: ColdTargetGuardOptions) {}
+	constructor(private readonly _options: ColdTargetGuardOptions, private readonly _permits = new Map<string, Permit>()) {}
+
+	/** Creates a copy with other owners whose changes do not reach this one, for a dry run. */
+	createCopy(owners: ColdTargetGuardOptions['owners']): ColdTargetGuard {
+		return new ColdTargetGuard({...this._options, owners}, new Map(this._permits));
+	}
 
 	/** Whether the target is cold and its service limits the requests to cold targets. */
 	isLimited(record: TargetRecord, now: number): boolean {
--- a/src/policy/gateway/cold-target-owners.ts
+++ b/src/policy/gateway/cold-target-owners.ts
@@ -71,6 +71,23 @@
 		this._grownAt = now;
 	}
 
+	/** Creates a copy whose changes do not reach this one, for a dry run. */
+	createCopy(): ColdTargetOwners {
+		const copy = new ColdTargetOwners(this._options, this._startedAt);
+		copy._changeNumber = this._changeNumber;
+		copy._memberKey = this._memberKey;
+		copy._members = this._members;
+		copy._runningCount = this._runningCount;
+		copy._changedAt = this._changedAt;
+		copy._settledCount = this._settledCount;
+		copy._grownAt = this._grownAt;
+		for (const [targetId, entry] of this._entries) {
+			copy._entries.set(targetId, {...entry});
+		}
+
+		return copy;
+	}
+
 	/** Applies changes of the known instances. */
 	refresh(now: number): void {
 		const {members} = this._options;
--- a/src/policy/gateway/rate-limiter.ts
+++ b/src/policy/gateway/rate-limiter.ts
@@ -7,10 +7,13 @@
 
 /** Limits the average rate of events with a token bucket. */
 export class RateLimiter {
-	/** The bucket is full at the first event, whatever the rate is then. */
-	private _tokens = Number.POSITIVE_INFINITY;
+	/** @param _tokens - Tokens at that time. By default the bucket is full at the first event, whatever the rate is then. */
+	constructor(private readonly _options: RateLimiterOptions, private _refilledAt: number, private _tokens = Number.POSITIVE_INFINITY) {}
 
-	constructor(private readonly _options: RateLimiterOptions, private _refilledAt: number) {}
+	/** Creates a copy whose changes do not reach this one, for a dry run. */
+	createCopy(): RateLimiter {
+		return new RateLimiter(this._options, this._refilledAt, this._tokens);
+	}
 
 	/** Takes one token; false when none is left. */
 	tryTake(now: number): boolean {
--- a/src/policy/gateway/return-schedule.ts
+++ b/src/policy/gateway/return-schedule.ts
@@ -16,9 +16,13 @@
 
 /** Times at which the refused requests of a service return: spread by the rate at which slots become free, the first refused first. */
 export class ReturnSchedule {
-	private _lastReturnAt = Number.NEGATIVE_INFINITY;
+	/** @param _lastReturnAt - Time at which the last refused request returns, in ms. */
+	constructor(private readonly _random: () => number, private _lastReturnAt = Number.NEGATIVE_INFINITY) {}
 
-	constructor(private readonly _random: () => number) {}
+	/** Creates a copy whose changes do not reach this one, for a dry run. It adds nothing at random. */
+	createCopy(): ReturnSchedule {
+		return new ReturnSchedule(() => 0, this._lastReturnAt);
+	}
 
 	/** Computes the retry-after time of a request that is refused now, in ms. */
 	schedule({now, waitMs, msPerSlot, deadlineAt}: Refusal): number {
--- a/src/policy/gateway/scarcity-level.ts
+++ b/src/policy/gateway/scarcity-level.ts
@@ -64,6 +64,17 @@
 		return this._level;
 	}
 
+	/** Creates a copy whose changes do not reach this one, for a dry run. */
+	createCopy(): ScarcityLevel {
+		const copy = new ScarcityLevel();
+		copy._failedShare = this._failedShare;
+		copy._lookedAt = this._lookedAt;
+		copy._level = this._level;
+		copy._steppedAt = this._steppedAt;
+		copy._lowSince = this._lowSince;
+		return copy;
+	}
+
 	/** Computes the time until late requests regularly find a slot again if the shortage ends now, in ms. */
 	computeFallMs(): number {
 		return Math.max(0, this._level - slightLevel) * fallIntervalMs;
