--- a/src/bin/rattansill-status.ts
+++ b/src/bin/rattansill-status.ts
@@ -7,6 +7,7 @@
 import {readLogFolder} from '../io/read-log-folder.js';
 import {explainLoggedRequest} from '../policy/status/explain-logged-request.js';
 import {formatFleetReport} from '../policy/status/format-fleet-report.js';
+import {PlaceCommand} from './place-command.js';
 import {runProgram} from './run-program.js';
 
 const clearScreen = '\u001B[2J\u001B[H';
@@ -81,4 +82,4 @@
 	}
 }
 
-await runProgram('rattansill-status', [StatusCommand, ExplainCommand]);
+await runProgram('rattansill-status', [StatusCommand, ExplainCommand, PlaceCommand]);
