--- a/src/policy/status/format-placement.test.ts
+++ b/src/policy/status/format-placement.test.ts
@@ -61,7 +61,7 @@
 			targets: [{
 				...target, isLocal: false, isCold: true, hasIdleConnection: false, estimateMs: undefined, reportAgeMs: undefined, slowdown: undefined,
 			}],
-		}, '1. i-1 in z-a: load unknown without a probe; 1 free slot, no report; duration ratio 1.00; failure rate 0.25; no idle connection; cold\n'],
+		}, '1. i-1 in z-a: needs a probe; 1 free slot, no report; duration ratio 1.00; failure rate 0.25; no idle connection; cold\n'],
 		['targets that are not listed', {}, {candidateCount: 30}, '    and 29 more\n'],
 		['no target', {}, {candidateCount: 0, targets: [], exclusions: {}}, '  0 of 4 targets can be chosen\n  excluded: none\n'],
 	])('describes %s', (_name, placementFields, serviceFields, text) => {
--- a/src/policy/status/format-placement.ts
+++ b/src/policy/status/format-placement.ts
@@ -47,7 +47,7 @@
 
 const formatTarget = (target: TargetExplanation, index: number): string => {
 	const parts = [
-		target.estimateMs === undefined ? 'load unknown without a probe' : `expected to take ${formatMs(target.estimateMs)}${target.isIdle ? ', idle' : ''}`,
+		target.estimateMs === undefined ? 'needs a probe' : `expected to take ${formatMs(target.estimateMs)}${target.isIdle ? ', idle' : ''}`,
 		`${formatCount(target.freeSlots, 'free slot')}${target.reportAgeMs === undefined ? ', no report' : `, reported ${formatMs(target.reportAgeMs)} ago`}`,
 		...target.slowdown === undefined ? [] : [`slowdown ${target.slowdown.toFixed(2)}`],
 		`duration ratio ${target.durationRatio.toFixed(2)}`,
