--- a/src/policy/gateway/scarcity-level.ts
+++ b/src/policy/gateway/scarcity-level.ts
@@ -77,6 +77,7 @@
 		const copy = new ScarcityLevel();
 		copy._failedShare = this._failedShare;
 		copy._lookedAt = this._lookedAt;
+		copy._activeAt = this._activeAt;
 		copy._level = this._level;
 		copy._steppedAt = this._steppedAt;
 		copy._lowSince = this._lowSince;
