--- a/src/policy/gateway/assign-entries.test.ts
+++ b/src/policy/gateway/assign-entries.test.ts
@@ -8,7 +8,9 @@
 	id: `e-${index}`, failureDomain: 'd', dataAddress: `h${index}:1`, peerAddress: `h${index}:2`, cores: 1, incarnation: 1, revision: 1, state: MemberState.Running, isServing: true, canRead: true,
 }));
 
-const services = [['a', 80], ['b', 40], ['c', 50], ['d', 48]].map(([name, slots]) => ({name: String(name), hosts: [String(name)], services: [], slots: Number(slots)}));
+const services = [['a', 80], ['b', 40], ['c', 50], ['d', 48]].map(([name, slots]) => ({
+	name: String(name), hosts: [String(name)], services: [], slots: Number(slots),
+}));
 
 const describeAssignment = (assigned: Map<string, GatewayMember[]>): string[] => {
 	const lines = [...assigned].flatMap(([name, entries]) => entries.map(({id}) => `${name} ${id}`));
