Check what is held by a short watch instead of reading it again, when an instance begins to read

Instances make range reads without a change of the registry, and not only after a restoration: whenever one begins to read, because its view is confirmed late or it takes itself for the reader, it reads the list of targets and the evacuations. In a model of 8 instances with real message exchange, the return of one that was cut off for 3 s makes all others do so at once (7 range reads of each prefix); busy processes with late messages have the same effect. Three causes are removed:

- A held list or set that was confirmed within 4 s is checked by a watch of 1 ms from its revision; lists are read only when something changed, the revision is lower or the era another one.
The number of calls stays the same.
- An empty set of evacuations got the revision of an earlier time of reading.
After a restoration without an era, an instance thus announced a set newer than the registry's; all took it, nothing confirmed it, and the reader read until it raised the generation.
The configuration, which tells the state, is now read first.
- After a change of a target, the reader paused for 0.5 s and waited for 1 s, longer than the 1.2 s after which standby readers read for themselves.
It now waits for 0.5 s.

Operators see the subjects target-check and evacuation-check in registry.reads. The fakes of SiteRegistry in tests get checkEvacuations; no expectation was changed.

--- /dev/null
+++ b/src/common/gateway/target-wait-options.ts
@@ -0,0 +1,7 @@
+/** How to wait for changes of the targets. */
+export type TargetWaitOptions = {
+	/** Revision after which changes are awaited; unless given, that of the last read or wait. */
+	readonly since?: number;
+	/** Maximum wait, in ms; unless given, that of the registry. */
+	readonly maxWaitMs?: number;
+};
--- a/src/controllers/gateway/background-work.test.ts
+++ b/src/controllers/gateway/background-work.test.ts
@@ -153,6 +153,7 @@
 		const source: SiteRegistry = {
 			readConfiguration: async () => ok({...configuration, version: revision}),
 			readEvacuations: async () => Promise.race([]),
+			checkEvacuations: async () => ok(undefined),
 			waitForChange: async () => new Promise(resolve => {
 				setTimeout(() => {
 					resolve(ok({hasConfiguration: true, hasEvacuations: false, upTo: {era: 0, revision: 1}}));
--- a/src/controllers/gateway/operator-reader.test.ts
+++ b/src/controllers/gateway/operator-reader.test.ts
@@ -29,6 +29,7 @@
 	let configurationResult: Result<GatewayConfiguration, RegistryError> = ok(configuration);
 	let watchResults: Array<Result<OperatorChanges, RegistryError>> = [];
 	let abortController = new AbortController();
+	let isReading = true;
 	let view: SiteView;
 
 	const createChanges = (hasConfiguration: boolean, hasEvacuations: boolean): Result<OperatorChanges, RegistryError> => ok({hasConfiguration, hasEvacuations, upTo: {era: store.era, revision: store.revision}});
@@ -37,6 +38,7 @@
 		vi.useFakeTimers();
 		store = {era: 1, revision: 10, domains: ['a']};
 		calls = [];
+		isReading = true;
 		configurationResult = ok(configuration);
 		watchResults = [];
 		abortController = new AbortController();
@@ -45,7 +47,7 @@
 		const pause = async (ms: number): Promise<void> => new Promise(resolve => {
 			setTimeout(resolve, ms);
 		});
-		const source: Pick<SiteRegistry, 'readConfiguration' | 'readEvacuations' | 'waitForChange'> = {
+		const source: Pick<SiteRegistry, 'readConfiguration' | 'readEvacuations' | 'checkEvacuations' | 'waitForChange'> = {
 			async readConfiguration() {
 				calls.push('configuration');
 				return configurationResult;
@@ -55,13 +57,14 @@
 				readRevision = store.revision;
 				return ok(store);
 			},
+			checkEvacuations: async since => ok(since.era === store.era && since.revision === store.revision ? since : undefined),
 			async waitForChange() {
 				await pause(1000);
 				return watchResults.shift() ?? createChanges(false, store.revision !== readRevision);
 			},
 		};
 		const reader = new OperatorReader({
-			source: source as SiteRegistry, view, logger: silentLogger, metrics: disabledMetrics, clock, random: () => 0, signal: abortController.signal, hasFailures: () => false, checkReading: () => true, onRead: () => undefined, pause,
+			source: source as SiteRegistry, view, logger: silentLogger, metrics: disabledMetrics, clock, random: () => 0, signal: abortController.signal, hasFailures: () => false, checkReading: () => isReading, onRead: () => undefined, pause,
 		});
 		void reader.run();
 	});
@@ -90,6 +93,27 @@
 		expect(view.operator.evacuationsAgeMs).toBeLessThan(1500);
 	});
 
+	// Guards against a range read of each instance that begins to read, or whose watch was cut, although nothing has changed.
+	it('does not read the evacuations again after a wait that failed when they have not changed', async () => {
+		await vi.advanceTimersByTimeAsync(500);
+		calls = [];
+		watchResults = [err({failure: RegistryFailure.HistoryLost, detail: ''})];
+		await vi.advanceTimersByTimeAsync(1400);
+		expect(calls).toEqual(['configuration']);
+		expect(view.operator.evacuationsAgeMs).toBeLessThan(1000);
+	});
+
+	// Guards against an empty set that gets the revision of an earlier time of reading, before a restoration: the fleet would take it for newer than those that follow.
+	it('reads the configuration, which tells the state of the registry, first when it reads again after a time', async () => {
+		await vi.advanceTimersByTimeAsync(500);
+		isReading = false;
+		await vi.advanceTimersByTimeAsync(10_000);
+		calls = [];
+		isReading = true;
+		await vi.advanceTimersByTimeAsync(500);
+		expect(calls).toEqual(['configuration', 'evacuations']);
+	});
+
 	// Guards against evacuations that are not followed while an operator's configuration cannot be read.
 	it('follows the evacuations while the configuration cannot be read', async () => {
 		await vi.advanceTimersByTimeAsync(500);
--- a/src/controllers/gateway/operator-reader.ts
+++ b/src/controllers/gateway/operator-reader.ts
@@ -36,6 +36,11 @@
 const changePauseMs = 100;
 /** Pause after a wait that failed, in ms. A random addition of up to the same time keeps instances from calling at the same time. */
 const backoffMs = 150;
+/**
+Age up to which a held set of evacuations is checked for changes instead of being read again, in ms. It covers what reading instances and messages from
+peers take while processes are busy; a registry without an era that was restored meanwhile and has passed the held revision cannot be told from one that was not.
+*/
+const maxCheckedAgeMs = 4000;
 
 /** Reads what operators write: the configuration and, where the site has them, the evacuations. Each is read again only when it has changed or may have. */
 export class OperatorReader {
@@ -44,6 +49,10 @@
 	private _canReadEvacuations = true;
 	private _isConfigurationDue = true;
 	private _areEvacuationsDue = true;
+	/** Whether the held evacuations may be the newest, so that a check can replace a read. */
+	private _isCheckDue = true;
+	/** Whether the registry has told its state since the reads began; without one, an empty set of evacuations has no revision. */
+	private _isPositionKnown = false;
 	private _readVersion = 0;
 	private _evacuationsReadAt: StorePosition = {era: 0, revision: 0};
 
@@ -107,13 +116,20 @@
 	private _markAllDue(): void {
 		this._isConfigurationDue = true;
 		this._areEvacuationsDue = true;
+		this._isCheckDue = true;
+		this._isPositionKnown = false;
 	}
 
 	/** Reads what has changed; returns whether all of it was read. What was not stays due. */
 	private async _readDue(): Promise<boolean> {
 		const hasEvacuations = this._options.view.operator.tracksEvacuations;
-		// Evacuations are small and urgent. Where none exist the store states no revision for them, so the first time they follow the configuration.
-		if (this._areEvacuationsDue && hasEvacuations && this._readVersion > 0) {
+		if (this._areEvacuationsDue && hasEvacuations && this._isCheckDue) {
+			this._isCheckDue = false;
+			this._areEvacuationsDue = !(await this._checkEvacuations());
+		}
+
+		// Evacuations are small and urgent. Where none exist the store states no revision for them, so while none is known they follow the configuration.
+		if (this._areEvacuationsDue && hasEvacuations && this._isPositionKnown) {
 			this._areEvacuationsDue = !(await this._readEvacuations());
 		}
 
@@ -134,6 +150,7 @@
 		const read = await source.readConfiguration();
 		this._countRead('configuration', read);
 		this._canReadConfiguration = read.isOk();
+		this._isPositionKnown ||= read.isOk();
 		if (read.isErr()) {
 			this._options.logger.logError('configuration-read-failed', {...read.error});
 			this._options.onRead(false);
@@ -156,6 +173,25 @@
 		return true;
 	}
 
+	/** Confirms the held evacuations if the registry shows that they have not changed; returns false when they have to be read. */
+	private async _checkEvacuations(): Promise<boolean> {
+		const {source, view: {operator}} = this._options;
+		const held = operator.evacuationOrder;
+		if (held.revision === 0 || operator.evacuationsAgeMs > maxCheckedAgeMs) {
+			return false;
+		}
+
+		const checked = await source.checkEvacuations(held);
+		this._countRead('evacuation-check', checked);
+		this._isPositionKnown = checked.isOk();
+		if (checked.isErr() || checked.value === undefined || !operator.confirmEvacuations(held, checked.value)) {
+			return false;
+		}
+
+		this._evacuationsReadAt = held;
+		return true;
+	}
+
 	private async _readEvacuations(): Promise<boolean> {
 		const {source, view, clock, logger} = this._options;
 		const startedAt = clock.now();
--- a/src/controllers/gateway/registry-reader-rules.test.ts
+++ b/src/controllers/gateway/registry-reader-rules.test.ts
@@ -1,3 +1,4 @@
+import {ok} from 'neverthrow';
 import {describe, expect, it} from 'vitest';
 import type {SiteRegistry} from '../../common/gateway/site-registry.js';
 import {disabledMetrics} from '../../io/disabled-metrics.js';
@@ -9,6 +10,7 @@
 const source: SiteRegistry = {
 	readConfiguration: async () => Promise.race([]),
 	readEvacuations: async () => Promise.race([]),
+	checkEvacuations: async () => ok(undefined),
 	waitForChange: async () => Promise.race([]),
 	waitForTargetChanges: async () => Promise.race([]),
 	readTargets: async () => Promise.race([]),
--- a/src/controllers/gateway/registry-reader.test.ts
+++ b/src/controllers/gateway/registry-reader.test.ts
@@ -21,6 +21,7 @@
 		const source: SiteRegistry = {
 			readConfiguration: async () => Promise.race([]),
 			readEvacuations: async () => Promise.race([]),
+			checkEvacuations: async () => ok(undefined),
 			waitForChange: async () => Promise.race([]),
 			readTargets: async () => ok({revision: 1, targets: [gatewayTarget]}),
 			async waitForTargetChanges() {
@@ -61,6 +62,7 @@
 				version, routes: [], services: [], limits,
 			} satisfies GatewayConfiguration),
 			readEvacuations: async () => Promise.race([]),
+			checkEvacuations: async () => ok(undefined),
 			waitForChange: async () => new Promise(resolve => {
 				notifyChange = () => {
 					resolve(ok({hasConfiguration: true, hasEvacuations: false, upTo: {era: 0, revision: 1}}));
--- a/src/controllers/gateway/registry-reader.ts
+++ b/src/controllers/gateway/registry-reader.ts
@@ -60,6 +60,12 @@
 const pollIntervalMs = 100;
 /** Pause after changes of targets before the next ones are awaited, in ms, so that several in quick succession need fewer calls; replacing the targets of a service takes many changes, and each call has a cost. */
 const targetChangePauseMs = 500;
+/** Wait for further changes after that pause, in ms. With a longer one, the list would be confirmed too late for a standby reader, which would read as well after each change. */
+const waitAfterChangeMs = 500;
+/** Age up to which a held list is checked for changes instead of being read again, in ms; see the same limit of the evacuations. */
+const maxCheckedAgeMs = 4000;
+/** Wait of a watch that only checks whether something has changed, in ms. */
+const checkWaitMs = 1;
 /** Pause between reads of the list whose revisions are lower than one seen before, in ms. */
 const regressionPauseMs = 250;
 /** Pause after a failed call, in ms. A random addition of up to the same time keeps instances from calling at the same time. */
@@ -149,12 +155,21 @@
 
 	private async _runTargetLoop(): Promise<void> {
 		const {source, view, clock} = this._options;
+		let isCheckDue = true;
 		while (!this._abortController.signal.aborted) {
 			if (!this.checkReading()) {
+				isCheckDue = true;
 				await this._pause(pollIntervalMs);
 				continue;
 			}
 
+			const isConfirmed: boolean = isCheckDue && await this._checkTargets();
+			isCheckDue = false;
+			if (isConfirmed) {
+				await this._watchTargets();
+				continue;
+			}
+
 			const startedAt = clock.now();
 			const held = view.version;
 			const read = await source.readTargets();
@@ -174,12 +189,38 @@
 		}
 	}
 
+	/** Applies what has changed in the registry since the held list, so that it need not be read; returns false when it has to be. */
+	private async _checkTargets(): Promise<boolean> {
+		const {source, view} = this._options;
+		const held = view.version;
+		if (held.targets === 0 || held.targetsAgeMs > maxCheckedAgeMs) {
+			return false;
+		}
+
+		const changes = await source.waitForTargetChanges({since: held.targets, maxWaitMs: checkWaitMs});
+		if (changes.isErr() && changes.error.failure === RegistryFailure.HistoryLost) {
+			// The read that follows shows whether the registry can be read.
+			this._countRead('target-check', changes);
+			return false;
+		}
+
+		this._noteTargetRead('target-check', changes);
+		if (changes.isErr()) {
+			await this._pause(this._backoffMs);
+			return false;
+		}
+
+		return this._revisions.offerEvents(changes.value, held);
+	}
+
 	/** Applies changes of the targets until this instance no longer has to read, or until the complete list has to be read again. */
 	private async _watchTargets(): Promise<void> {
 		const {source, view} = this._options;
+		let maxWaitMs: number | undefined;
 		while (this.checkReading() && !this._abortController.signal.aborted) {
 			const held = view.version;
-			const waited = await source.waitForTargetChanges();
+			const waited = await source.waitForTargetChanges(maxWaitMs === undefined ? {} : {maxWaitMs});
+			maxWaitMs = undefined;
 			this._noteTargetRead('target-changes', waited);
 			if (waited.isErr()) {
 				if (waited.error.failure === RegistryFailure.HistoryLost) {
@@ -191,6 +232,7 @@
 				return;
 			} else if (waited.value.changed.length + waited.value.removed.length > 0) {
 				await this._pause(targetChangePauseMs);
+				maxWaitMs = waitAfterChangeMs;
 			}
 		}
 	}
--- a/test/support/in-memory-fleet.ts
+++ b/test/support/in-memory-fleet.ts
@@ -36,7 +36,8 @@
 	olderVersions = new Set<string>();
 	private readonly _random = new SeededRandom(16);
 
-	constructor(private readonly _options: {readonly seeds: readonly string[]}) {}
+	/** @param _options - Seeds of all instances and, unless messages arrive at once, the time that each takes, in ms. */
+	constructor(private readonly _options: {readonly seeds: readonly string[]; readonly delayMs?: () => number}) {}
 
 	/** Instances that are not silent. */
 	get running(): FleetInstance[] {
@@ -62,9 +63,11 @@
 						return err(new Error('no response'));
 					}
 
+					await this._delay();
 					const isOlder = this.olderVersions.has(id) || this.olderVersions.has(address);
 					const response = isOlder ? stripNewer(peer.members.handleMessage(stripNewer(message))) : peer.members.handleMessage(message);
 					this._recordBytes(id, address, measureMessageBytes(message) + measureMessageBytes(response));
+					await this._delay();
 					return ok(response);
 				},
 				fetchConfiguration: async address => this._fetchConfiguration(id, address),
@@ -112,6 +115,15 @@
 		this.instances.clear();
 	}
 
+	private async _delay(): Promise<void> {
+		const {delayMs} = this._options;
+		if (delayMs !== undefined) {
+			await new Promise(resolve => {
+				setTimeout(resolve, delayMs());
+			});
+		}
+	}
+
 	private _findReachablePeer(from: string, to: string): FleetInstance | undefined {
 		return this.silent.has(from) || this.silent.has(to) || this.partitioned.has(from) !== this.partitioned.has(to) ? undefined : this.instances.get(to);
 	}
