--- a/src/controllers/gateway/operator-reader.test.ts
+++ b/src/controllers/gateway/operator-reader.test.ts
@@ -30,6 +30,7 @@
 	let watchResults: Array<Result<OperatorChanges, RegistryError>> = [];
 	let abortController = new AbortController();
 	let isReading = true;
+	let checkErrors: RegistryError[] = [];
 	let view: SiteView;
 
 	const createChanges = (hasConfiguration: boolean, hasEvacuations: boolean): Result<OperatorChanges, RegistryError> => ok({hasConfiguration, hasEvacuations, upTo: {era: store.era, revision: store.revision}});
@@ -39,6 +40,7 @@
 		store = {era: 1, revision: 10, domains: ['a']};
 		calls = [];
 		isReading = true;
+		checkErrors = [];
 		configurationResult = ok(configuration);
 		watchResults = [];
 		abortController = new AbortController();
@@ -57,7 +59,10 @@
 				readRevision = store.revision;
 				return ok(store);
 			},
-			checkEvacuations: async since => ok(since.era === store.era && since.revision === store.revision ? since : undefined),
+			async checkEvacuations(since) {
+				const error = checkErrors.shift();
+				return error === undefined ? ok(since.era === store.era && since.revision === store.revision ? since : undefined) : err(error);
+			},
 			async waitForChange() {
 				await pause(1000);
 				return watchResults.shift() ?? createChanges(false, store.revision !== readRevision);
@@ -94,12 +99,17 @@
 	});
 
 	// Guards against a range read of each instance that begins to read, or whose watch was cut, although nothing has changed.
-	it('does not read the evacuations again after a wait that failed when they have not changed', async () => {
+	it.each<[string, RegistryError[], string[]]>([
+		['they have not changed', [], ['configuration']],
+		['the check that they have not changed is late once', [{failure: RegistryFailure.Unreachable, detail: ''}], ['configuration']],
+		['the registry cannot tell whether they have changed', [unreadable], ['configuration', 'evacuations']],
+	])('reads the evacuations again after a wait that failed only if needed, when %s', async (_name, errors, expected) => {
+		checkErrors = errors;
 		await vi.advanceTimersByTimeAsync(500);
 		calls = [];
 		watchResults = [err({failure: RegistryFailure.HistoryLost, detail: ''})];
 		await vi.advanceTimersByTimeAsync(1400);
-		expect(calls).toEqual(['configuration']);
+		expect(calls).toEqual(expected);
 		expect(view.operator.evacuationsAgeMs).toBeLessThan(1000);
 	});
 
@@ -125,6 +135,18 @@
 		expect(view.operator.evacuatedDomains).toEqual(['a', 'b']);
 	});
 
+	// Guards against a fleet that never learns of an evacuation since the configuration could not be read when its reads began.
+	it('reads the evacuations although the configuration cannot be read when it begins to read', async () => {
+		await vi.advanceTimersByTimeAsync(500);
+		isReading = false;
+		await vi.advanceTimersByTimeAsync(10_000);
+		configurationResult = err(unreadable);
+		store = {era: 1, revision: 12, domains: ['a', 'b']};
+		isReading = true;
+		await vi.advanceTimersByTimeAsync(500);
+		expect(view.operator.evacuatedDomains).toEqual(['a', 'b']);
+	});
+
 	// Guards against a set that no read replaces, after an answer that was wrong or from a peer that was.
 	it.each([
 		['the registry', () => {
--- a/src/controllers/gateway/operator-reader.ts
+++ b/src/controllers/gateway/operator-reader.ts
@@ -7,7 +7,9 @@
 import type {Logger} from '../../common/logger.js';
 import type {Metrics} from '../../common/metrics.js';
 import {isNewerEvacuation} from '../../policy/gateway/is-newer-evacuation.js';
+import {canRepeatCheck} from '../../policy/gateway/can-repeat-check.js';
 import {RevisionRegression} from '../../policy/gateway/revision-regression.js';
+import {CheckResult} from './check-result.js';
 import type {SiteView} from './site-view.js';
 
 type OperatorReaderOptions = {
@@ -51,8 +53,8 @@
 	private _areEvacuationsDue = true;
 	/** Whether the held evacuations may be the newest, so that a check can replace a read. */
 	private _isCheckDue = true;
-	/** Whether the registry has told its state since the reads began; without one, an empty set of evacuations has no revision. */
-	private _isPositionKnown = false;
+	/** Whether the registry was asked for its state since the reads began; without one, an empty set of evacuations has no revision. */
+	private _isPositionAsked = false;
 	private _readVersion = 0;
 	private _evacuationsReadAt: StorePosition = {era: 0, revision: 0};
 
@@ -117,26 +119,21 @@
 		this._isConfigurationDue = true;
 		this._areEvacuationsDue = true;
 		this._isCheckDue = true;
-		this._isPositionKnown = false;
+		this._isPositionAsked = false;
 	}
 
 	/** Reads what has changed; returns whether all of it was read. What was not stays due. */
 	private async _readDue(): Promise<boolean> {
 		const hasEvacuations = this._options.view.operator.tracksEvacuations;
-		if (this._areEvacuationsDue && hasEvacuations && this._isCheckDue) {
-			this._isCheckDue = false;
-			this._areEvacuationsDue = !(await this._checkEvacuations());
-		}
-
 		// Evacuations are small and urgent. Where none exist the store states no revision for them, so while none is known they follow the configuration.
-		if (this._areEvacuationsDue && hasEvacuations && this._isPositionKnown) {
-			this._areEvacuationsDue = !(await this._readEvacuations());
+		if (this._areEvacuationsDue && hasEvacuations && (this._isCheckDue || this._isPositionAsked)) {
+			this._areEvacuationsDue = !(await this._renewEvacuations());
 		}
 
 		if (this._isConfigurationDue) {
 			this._isConfigurationDue = !(await this._readConfiguration());
 			if (this._areEvacuationsDue && hasEvacuations) {
-				this._areEvacuationsDue = !(await this._readEvacuations());
+				this._areEvacuationsDue = !(await this._renewEvacuations());
 			}
 		}
 
@@ -150,7 +147,7 @@
 		const read = await source.readConfiguration();
 		this._countRead('configuration', read);
 		this._canReadConfiguration = read.isOk();
-		this._isPositionKnown ||= read.isOk();
+		this._isPositionAsked = true;
 		if (read.isErr()) {
 			this._options.logger.logError('configuration-read-failed', {...read.error});
 			this._options.onRead(false);
@@ -173,23 +170,49 @@
 		return true;
 	}
 
-	/** Confirms the held evacuations if the registry shows that they have not changed; returns false when they have to be read. */
-	private async _checkEvacuations(): Promise<boolean> {
-		const {source, view: {operator}} = this._options;
+	/** Checks whether the held evacuations have to be read: confirms them when they have not changed. A failed check is repeated, since a read would fail as well. */
+	private async _checkEvacuations(): Promise<CheckResult> {
+		const {source, view: {operator}, onRead} = this._options;
 		const held = operator.evacuationOrder;
 		if (held.revision === 0 || operator.evacuationsAgeMs > maxCheckedAgeMs) {
-			return false;
+			this._isCheckDue = false;
+			return CheckResult.ReadDue;
 		}
 
 		const checked = await source.checkEvacuations(held);
 		this._countRead('evacuation-check', checked);
-		this._isPositionKnown = checked.isOk();
+		this._canReadEvacuations = checked.isOk() || !canRepeatCheck(checked.error.failure);
+		if (!this._canReadEvacuations) {
+			onRead(false);
+			return CheckResult.Failed;
+		}
+
+		this._isCheckDue = false;
+		this._isPositionAsked ||= checked.isOk();
 		if (checked.isErr() || checked.value === undefined || !operator.confirmEvacuations(held, checked.value)) {
-			return false;
+			return CheckResult.ReadDue;
 		}
 
 		this._evacuationsReadAt = held;
-		return true;
+		return CheckResult.Confirmed;
+	}
+
+	/** Reads the evacuations, or confirms the held ones by a check; returns whether this instance has the newest. */
+	private async _renewEvacuations(): Promise<boolean> {
+		const result = this._isCheckDue ? await this._checkEvacuations() : CheckResult.ReadDue;
+		switch (result) {
+			case CheckResult.Confirmed: {
+				return true;
+			}
+
+			case CheckResult.Failed: {
+				return false;
+			}
+
+			case CheckResult.ReadDue: {
+				return this._isPositionAsked && this._readEvacuations();
+			}
+		}
 	}
 
 	private async _readEvacuations(): Promise<boolean> {
--- a/src/controllers/gateway/registry-reader.ts
+++ b/src/controllers/gateway/registry-reader.ts
@@ -8,6 +8,8 @@
 import type {Logger} from '../../common/logger.js';
 import type {Metrics} from '../../common/metrics.js';
 import {runTask} from '../../io/run-task.js';
+import {canRepeatCheck} from '../../policy/gateway/can-repeat-check.js';
+import {CheckResult} from './check-result.js';
 import {OperatorReader} from './operator-reader.js';
 import {RevisionChecker} from './revision-checker.js';
 import type {SiteView} from './site-view.js';
@@ -163,10 +165,10 @@
 				continue;
 			}
 
-			const isConfirmed: boolean = isCheckDue && await this._checkTargets();
-			isCheckDue = false;
-			if (isConfirmed) {
-				await this._watchTargets();
+			const result: CheckResult = isCheckDue ? await this._checkTargets() : CheckResult.ReadDue;
+			isCheckDue = result === CheckResult.Failed;
+			if (result !== CheckResult.ReadDue) {
+				await (isCheckDue ? this._pause(this._backoffMs) : this._watchTargets());
 				continue;
 			}
 
@@ -189,28 +191,27 @@
 		}
 	}
 
-	/** Applies what has changed in the registry since the held list, so that it need not be read; returns false when it has to be. */
-	private async _checkTargets(): Promise<boolean> {
+	/** Applies what has changed in the registry since the held list, so that it need not be read if that is all. */
+	private async _checkTargets(): Promise<CheckResult> {
 		const {source, view} = this._options;
 		const held = view.version;
 		if (held.targets === 0 || held.targetsAgeMs > maxCheckedAgeMs) {
-			return false;
+			return CheckResult.ReadDue;
 		}
 
 		const changes = await source.waitForTargetChanges({since: held.targets, maxWaitMs: checkWaitMs});
-		if (changes.isErr() && changes.error.failure === RegistryFailure.HistoryLost) {
+		if (changes.isErr() && !canRepeatCheck(changes.error.failure)) {
 			// The read that follows shows whether the registry can be read.
 			this._countRead('target-check', changes);
-			return false;
+			return CheckResult.ReadDue;
 		}
 
 		this._noteTargetRead('target-check', changes);
 		if (changes.isErr()) {
-			await this._pause(this._backoffMs);
-			return false;
+			return CheckResult.Failed;
 		}
 
-		return this._revisions.offerEvents(changes.value, held);
+		return this._revisions.offerEvents(changes.value, held) ? CheckResult.Confirmed : CheckResult.ReadDue;
 	}
 
 	/** Applies changes of the targets until this instance no longer has to read, or until the complete list has to be read again. */
