--- a/src/controllers/gateway/entry-controller.test.ts
+++ b/src/controllers/gateway/entry-controller.test.ts
@@ -14,13 +14,13 @@
 	name: host, host, pathPrefix: '/', shares: [{service, weight: 1}], isIdempotent: true, timeoutMs: 1, objectiveMs: 1, priority: 1, maxAttempts: 1,
 });
 
-const createFleet = () => {
+const createFleet = (selfId = 'a-1') => {
 	const view = new SiteView({clock: {now: () => 0}, logger: silentLogger});
 	const members: GatewayMember[] = [createMember('a-1', 'a'), createMember('b-1', 'b')];
 	const counted = {changes: 1, listings: 0};
 	const entries = new EntryController({
 		view,
-		settings: {instance: {id: 'a-1', failureDomain: 'a', region: 'r'}, failureDomains: ['a']},
+		settings: {instance: {id: selfId, failureDomain: 'a', region: 'r'}, failureDomains: ['a']},
 		members: {
 			get changeNumber() {
 				return counted.changes;
@@ -97,4 +97,19 @@
 
 		expect(ask('a')).toEqual(['a-1']);
 	});
+
+	// Guards against instances with all callers that have as small a part of the fleet's limits as those without any.
+	it.each([
+		['an instance to which callers are sent', 'a-1', 0.25 + (0.75 * 40 / 8)],
+		['another instance', 'a-31', 0.25],
+	])('gives %s its share of the limits of the service', (_name, id, factor) => {
+		const {members, counted, entries} = createFleet(id);
+		for (let index = 2; index <= 40; index++) {
+			members.push({...createMember(`a-${index}`, 'a'), cores: index < 9 ? 1 : 0.5});
+		}
+
+		counted.changes++;
+		expect(entries.computeTrafficFactor('s')).toBeCloseTo(factor);
+		expect(entries.computeTrafficFactor('unknown')).toBe(1);
+	});
 });
