Keep the rank order without load reports, and look again when a target was taken

Found in review. Without load reports, the choice from reports took the first of all targets with equal estimates, in list order, and a confirmed choice was replaced by it: instances would have preferred the same target, in any failure domain. A request whose target was taken while it was probed waited 25 ms and counted as a failed look although further targets had not been probed.

--- a/src/controllers/gateway/service-placer.ts
+++ b/src/controllers/gateway/service-placer.ts
@@ -195,7 +195,12 @@
 		this._reprobingCount += reprobing;
 		waiter.lookedAt = this._options.clock.now();
 		try {
-			choice = await this._options.pool.chooseWithProbes(waiter.request);
+			const {pool} = this._options;
+			choice = await pool.chooseWithProbes(waiter.request);
+			// Probes end at the first idle target, and another request may have taken it.
+			if (choice !== undefined && pool.confirmChoice(choice, waiter.request) === undefined) {
+				choice = await pool.chooseWithProbes(waiter.request);
+			}
 		} catch (error) {
 			this._failWaiter('placement-probes', waiter, error);
 		}
--- a/src/controllers/gateway/target-chooser.ts
+++ b/src/controllers/gateway/target-chooser.ts
@@ -20,8 +20,9 @@
 
 	/** Chooses the best target by recent load reports, without probes; undefined when none is known to have a free slot. */
 	chooseFromReports(criteria: TargetCriteria): TargetChoice | undefined {
-		const {selector} = this._options;
-		return selector.chooseBest(selector.listEligible(criteria), criteria);
+		const {selector, rater} = this._options;
+		// Without load reports, the order by rank decides among targets with equal estimates.
+		return selector.chooseBest(rater.reportsLoad === true ? selector.listEligible(criteria) : selector.listCandidates(criteria), criteria);
 	}
 
 	/** Chooses the best target with probes: in batches, the most promising first, until one is idle; undefined when none has a free slot. */
@@ -45,8 +46,9 @@
 	is granted a slot, so the last slot or the permit of a cold target would be granted to all of them.
 	*/
 	confirmChoice({pooledTarget}: TargetChoice, criteria: TargetCriteria): TargetChoice | undefined {
-		const confirmed = this._options.selector.chooseBest([pooledTarget], criteria);
-		return confirmed?.isIdle === true ? confirmed : this.chooseFromReports(criteria);
+		const {selector, rater} = this._options;
+		const confirmed = selector.chooseBest([pooledTarget], criteria);
+		return confirmed !== undefined && (confirmed.isIdle || rater.reportsLoad !== true) ? confirmed : this.chooseFromReports(criteria);
 	}
 
 	/** Returns the next targets to probe. Local ones form a batch of their own, since traffic between failure domains is costly. */
