Let a share of the retry slack rise only a window after it is known to have grown

Found in review: when nobody asked for a share during a whole window, the smaller one before was forgotten and the larger one took effect at once. The new case in traffic-share.test.ts fails without the change.

--- a/src/controllers/gateway/placement-controller.ts
+++ b/src/controllers/gateway/placement-controller.ts
@@ -165,7 +165,7 @@
 		}
 	}
 
-	/** Follows the shares of all services, those without requests as well, so that a share that has grown counts from then on. */
+	/** Updates the shares of all services, also of those without requests, since a share that has grown takes effect one window after it is noticed. */
 	private _refreshShares(): void {
 		for (const {traffic} of this._services.values()) {
 			traffic.getWindowFactor(this._options.clock.now());
--- a/src/policy/gateway/traffic-share.ts
+++ b/src/policy/gateway/traffic-share.ts
@@ -8,11 +8,12 @@
 };
 
 /**
-Share of this instance in limits on the requests to one service, as a factor of an equal share. It answers the load of a large fleet whose callers
-are sent to few instances.
+Share of this instance in limits on the requests to one service, as a factor of an equal share. It is meant for a large fleet whose callers are sent to
+few instances.
 */
 export class TrafficShare {
 	private readonly _divisors: WindowMaximum;
+	private _divisor: number | undefined;
 
 	constructor(private readonly _options: TrafficShareOptions) {
 		this._divisors = new WindowMaximum(_options.windowMs);
@@ -28,6 +29,9 @@
 	larger part before may have used it.
 	*/
 	getWindowFactor(now: number): number {
-		return 1 / this._divisors.add(1 / this.factor, now);
+		// The value before held until now, however long nobody asked.
+		this._divisors.add(this._divisor ?? 1 / this.factor, now);
+		this._divisor = 1 / this.factor;
+		return 1 / this._divisors.add(this._divisor, now);
 	}
 }
