Compare the era before a held list of targets is confirmed by a watch

Found in review: the registry may have been restored and have passed the revision of the held list, so that changes in between would be missed. A check that the registry refuses is now followed by a read, since only the watch may be refused.

--- a/src/controllers/gateway/operator-view.ts
+++ b/src/controllers/gateway/operator-view.ts
@@ -31,6 +31,7 @@
 	private readonly _evacuations: Evacuations | undefined;
 	private _announcedDomains: readonly string[] = [];
 	private _evacuationsConfirmedAt = Number.NEGATIVE_INFINITY;
+	private _eraKnownAt = Number.POSITIVE_INFINITY;
 	private _configuration: GatewayConfiguration | undefined;
 	private _configurationConfirmedAt = Number.NEGATIVE_INFINITY;
 	/** Time at which the registry last confirmed the active configuration to this instance itself, in ms. */
@@ -82,6 +83,11 @@
 		return this._evacuations?.order ?? {generation: 0, era: 0, revision: 0};
 	}
 
+	/** Time for which this instance has known the era of the held evacuations, in ms; 0 when none are held. */
+	get eraKnownMs(): number {
+		return this._evacuations?.isKnown === true ? this._options.clock.now() - this._eraKnownAt : 0;
+	}
+
 	/** Time since the configuration was last confirmed to be the newest in the registry, by this instance or a peer, in ms. */
 	get configurationAgeMs(): number {
 		return this._options.clock.now() - this._configurationConfirmedAt;
@@ -153,7 +159,12 @@
 	*/
 	offerEvacuations(set: EvacuationSet, ageMs: number): void {
 		const now = this._options.clock.now();
+		const {era, revision} = this.evacuationOrder;
 		const isNewer = this._evacuations?.offer(set, now) === true;
+		if (isNewer && (revision === 0 || set.era !== era)) {
+			this._eraKnownAt = now;
+		}
+
 		if (isNewer) {
 			this._evacuationsConfirmedAt = Number.NEGATIVE_INFINITY;
 		}
--- a/src/controllers/gateway/registry-reader.ts
+++ b/src/controllers/gateway/registry-reader.ts
@@ -195,11 +195,13 @@
 	private async _checkTargets(): Promise<CheckResult> {
 		const {source, view} = this._options;
 		const held = view.version;
-		if (held.targets === 0 || held.targetsAgeMs > maxCheckedAgeMs) {
+		const {tracksEvacuations, eraKnownMs, evacuationOrder: {era}} = view.operator;
+		// The list has no era of its own: that of the evacuations must have been known when the list was confirmed.
+		if (held.targets === 0 || held.targetsAgeMs > maxCheckedAgeMs || !tracksEvacuations || eraKnownMs < held.targetsAgeMs) {
 			return CheckResult.ReadDue;
 		}
 
-		const changes = await source.waitForTargetChanges({since: held.targets, maxWaitMs: checkWaitMs});
+		const changes = await source.waitForTargetChanges({since: held.targets, era, maxWaitMs: checkWaitMs});
 		if (changes.isErr() && !canRepeatCheck(changes.error.failure)) {
 			// The read that follows shows whether the registry can be read.
 			this._countRead('target-check', changes);
