--- a/src/bin/gateway-endpoints.ts
+++ b/src/bin/gateway-endpoints.ts
@@ -70,7 +70,7 @@
 		response.end(body);
 	}
 
-	/** Answers a question of an operator: for a dry run on its path, else for the metrics. */
+	/** Handles a request to the address of the metrics: a dry run on the path `/place`, the metrics on any other. */
 	async handleOperator(request: IncomingMessage, response: ServerResponse): Promise<void> {
 		const {path, query} = parseRequestTarget(request.url ?? '/');
 		if (path === placePath) {
--- a/src/bin/place-command.ts
+++ b/src/bin/place-command.ts
@@ -6,7 +6,7 @@
 import {fetchPlacement} from '../io/fetch-placement.js';
 import {formatPlacement} from '../policy/status/format-placement.js';
 
-const badRequest = 400;
+const badRequestStatus = 400;
 
 /** Shows where an instance would send a request now, and why, without sending it. */
 export class PlaceCommand extends Command {
@@ -45,7 +45,7 @@
 		if (fetched.isErr()) {
 			const {status, detail} = fetched.error;
 			stderr.write(`${detail}\n`);
-			return status === undefined ? ExitCode.Unavailable : (status === badRequest ? ExitCode.Usage : ExitCode.Failure);
+			return status === undefined ? ExitCode.Unavailable : (status === badRequestStatus ? ExitCode.Usage : ExitCode.Failure);
 		}
 
 		stdout.write(this.json ? `${JSON.stringify(fetched.value)}\n` : formatPlacement(fetched.value));
--- a/src/policy/gateway/cold-target-owners.ts
+++ b/src/policy/gateway/cold-target-owners.ts
@@ -60,7 +60,6 @@
 	private _memberKey = '';
 	private _members: readonly KnownMember[] = [];
 	private _runningCount = 0;
-	/** Whether this instance is among the members: false once it has announced that it leaves. */
 	private _changedAt: number;
 	private _settledCount = 1;
 	private _grownAt: number;
--- a/src/policy/gateway/hedge-durations.ts
+++ b/src/policy/gateway/hedge-durations.ts
@@ -33,7 +33,8 @@
 	*/
 	getQuantileMs(fraction: number, now: number): number | undefined {
 		this._rotate(now);
-		return this._recent.totalCount < minCount ? undefined : this._recent.getValueAtPercentile(fraction * 100);
+		const {totalCount} = this._recent;
+		return totalCount < minCount || totalCount * (1 - fraction) < 1 ? undefined : this._recent.getValueAtPercentile(fraction * 100);
 	}
 
 	private _rotate(now: number): void {
