--- a/src/controllers/gateway/operator-reader.test.ts
+++ b/src/controllers/gateway/operator-reader.test.ts
@@ -29,6 +29,8 @@
 	let configurationResult: Result<GatewayConfiguration, RegistryError> = ok(configuration);
 	let watchResults: Array<Result<OperatorChanges, RegistryError>> = [];
 	let abortController = new AbortController();
+	let isReading = true;
+	let checkErrors: RegistryError[] = [];
 	let view: SiteView;
 
 	const createChanges = (hasConfiguration: boolean, hasEvacuations: boolean): Result<OperatorChanges, RegistryError> => ok({hasConfiguration, hasEvacuations, upTo: {era: store.era, revision: store.revision}});
@@ -37,6 +39,8 @@
 		vi.useFakeTimers();
 		store = {era: 1, revision: 10, domains: ['a']};
 		calls = [];
+		isReading = true;
+		checkErrors = [];
 		configurationResult = ok(configuration);
 		watchResults = [];
 		abortController = new AbortController();
@@ -45,7 +49,7 @@
 		const pause = async (ms: number): Promise<void> => new Promise(resolve => {
 			setTimeout(resolve, ms);
 		});
-		const source: Pick<SiteRegistry, 'readConfiguration' | 'readEvacuations' | 'waitForChange'> = {
+		const source: Pick<SiteRegistry, 'readConfiguration' | 'readEvacuations' | 'checkEvacuations' | 'waitForChange'> = {
 			async readConfiguration() {
 				calls.push('configuration');
 				return configurationResult;
@@ -55,13 +59,17 @@
 				readRevision = store.revision;
 				return ok(store);
 			},
+			async checkEvacuations(since) {
+				const error = checkErrors.shift();
+				return error === undefined ? ok(since.era === store.era && since.revision === store.revision ? since : undefined) : err(error);
+			},
 			async waitForChange() {
 				await pause(1000);
 				return watchResults.shift() ?? createChanges(false, store.revision !== readRevision);
 			},
 		};
 		const reader = new OperatorReader({
-			source: source as SiteRegistry, view, logger: silentLogger, metrics: disabledMetrics, clock, random: () => 0, signal: abortController.signal, hasFailures: () => false, checkReading: () => true, onRead: () => undefined, pause,
+			source: source as SiteRegistry, view, logger: silentLogger, metrics: disabledMetrics, clock, random: () => 0, signal: abortController.signal, hasFailures: () => false, checkReading: () => isReading, onRead: () => undefined, pause,
 		});
 		void reader.run();
 	});
@@ -90,6 +98,32 @@
 		expect(view.operator.evacuationsAgeMs).toBeLessThan(1500);
 	});
 
+	// Guards against a range read of each instance that begins to read, or whose watch was cut, although nothing has changed.
+	it.each<[string, RegistryError[], string[]]>([
+		['they have not changed', [], ['configuration']],
+		['the check that they have not changed is late once', [{failure: RegistryFailure.Unreachable, detail: ''}], ['configuration']],
+		['the registry cannot tell whether they have changed', [unreadable], ['configuration', 'evacuations']],
+	])('reads the evacuations again after a wait that failed only if needed, when %s', async (_name, errors, expected) => {
+		checkErrors = errors;
+		await vi.advanceTimersByTimeAsync(500);
+		calls = [];
+		watchResults = [err({failure: RegistryFailure.HistoryLost, detail: ''})];
+		await vi.advanceTimersByTimeAsync(1400);
+		expect(calls).toEqual(expected);
+		expect(view.operator.evacuationsAgeMs).toBeLessThan(1000);
+	});
+
+	// Guards against an empty set that gets the revision of an earlier time of reading, before a restoration: the fleet would take it for newer than those that follow.
+	it('reads the configuration, which tells the state of the registry, first when it reads again after a time', async () => {
+		await vi.advanceTimersByTimeAsync(500);
+		isReading = false;
+		await vi.advanceTimersByTimeAsync(10_000);
+		calls = [];
+		isReading = true;
+		await vi.advanceTimersByTimeAsync(500);
+		expect(calls).toEqual(['configuration', 'evacuations']);
+	});
+
 	// Guards against evacuations that are not followed while an operator's configuration cannot be read.
 	it('follows the evacuations while the configuration cannot be read', async () => {
 		await vi.advanceTimersByTimeAsync(500);
@@ -101,6 +135,18 @@
 		expect(view.operator.evacuatedDomains).toEqual(['a', 'b']);
 	});
 
+	// Guards against a fleet that never learns of an evacuation since the configuration could not be read when its reads began.
+	it('reads the evacuations although the configuration cannot be read when it begins to read', async () => {
+		await vi.advanceTimersByTimeAsync(500);
+		isReading = false;
+		await vi.advanceTimersByTimeAsync(10_000);
+		configurationResult = err(unreadable);
+		store = {era: 1, revision: 12, domains: ['a', 'b']};
+		isReading = true;
+		await vi.advanceTimersByTimeAsync(500);
+		expect(view.operator.evacuatedDomains).toEqual(['a', 'b']);
+	});
+
 	// Guards against a set that no read replaces, after an answer that was wrong or from a peer that was.
 	it.each([
 		['the registry', () => {
--- a/src/controllers/gateway/placement-controller.ts
+++ b/src/controllers/gateway/placement-controller.ts
@@ -6,6 +6,7 @@
 import type {GatewayTarget} from '../../common/gateway/gateway-target.js';
 import type {GatewaySettings} from '../../common/gateway/gateway-settings.js';
 import type {HeaderVocabulary} from '../../common/gateway/header-vocabulary.js';
+import type {ServiceExplanation} from '../../common/gateway/service-explanation.js';
 import type {Logger} from '../../common/logger.js';
 import type {Metrics} from '../../common/metrics.js';
 import {RequestError} from '../../common/request-error.js';
@@ -15,8 +16,10 @@
 import type {FleetShare} from '../../policy/gateway/fleet-share.js';
 import type {HedgeCapacity} from '../../policy/gateway/hedge-capacity.js';
 import {minRetryAfterMs} from '../../policy/gateway/min-retry-after-ms.js';
+import {TrafficShare} from '../../policy/gateway/traffic-share.js';
 import {RetryBudget} from '../../policy/gateway/retry-budget.js';
 import {listServicePriorities} from '../../policy/gateway/list-service-priorities.js';
+import {explainService} from './explain-service.js';
 import type {PlacementRequest} from './placement-request.js';
 import {ServiceAdmission} from './service-admission.js';
 import {ServicePlacer} from './service-placer.js';
@@ -37,6 +40,8 @@
 	readonly coldTargetOwners?: ColdTargetOwners | undefined;
 	/** Divides limits of the fleet among its instances. */
 	readonly share: Pick<FleetShare, 'divide' | 'divideWindowLimit'>;
+	/** Computes the share of this instance in limits on the requests to a service, as a factor of an equal share. */
+	readonly computeTrafficFactor: (service: string) => number;
 };
 
 type ServiceState = {
@@ -44,6 +49,7 @@
 	readonly placer: ServicePlacer;
 	readonly admission: ServiceAdmission;
 	readonly retryBudget: RetryBudget;
+	readonly traffic: TrafficShare;
 	/** The targets of the service in the last list. */
 	targets: readonly GatewayTarget[];
 };
@@ -69,6 +75,28 @@
 				placer.placeWaiting();
 			}
 		});
+		_options.view.onVersionChange(() => {
+			this._refreshShares();
+		});
+	}
+
+	/**
+	Explains what a service would do with a request that arrives now, without sending it; nothing changes.
+	@param share - Fraction of the requests of the route that go to the service.
+	*/
+	explain(request: Omit<PlacementRequest, 'signal'>, share: number): ServiceExplanation | undefined {
+		const {clock, coldTargetOwners} = this._options;
+		const state = this._services.get(request.service);
+		return state && explainService({
+			request,
+			share,
+			placer: state.placer,
+			pool: state.pool,
+			admission: state.admission,
+			coldTargetOwners,
+			leavingCount: state.targets.filter(({isLeaving}) => isLeaving).length,
+			clock,
+		});
 	}
 
 	/** Waits for a slot at a target of the service. An error means that the request has not run. */
@@ -137,6 +165,13 @@
 		}
 	}
 
+	/** Updates the shares of all services, also of those without requests, since a share that has grown takes effect one window after it is noticed. */
+	private _refreshShares(): void {
+		for (const {traffic} of this._services.values()) {
+			traffic.getWindowFactor(this._options.clock.now());
+		}
+	}
+
 	private _updateServices(): void {
 		const {view} = this._options;
 		const services = new Map((view.configuration?.services ?? []).map(service => [service.name, service]));
@@ -176,6 +211,7 @@
 	private _createService(service: GatewayService): ServiceState {
 		const {settings, view, headers, logger, metrics, clock, random, share} = this._options;
 		const {limits, instance} = settings;
+		const traffic = new TrafficShare({computeFactor: () => this._options.computeTrafficFactor(service.name), windowMs: limits.retryWindowMs});
 		const pool = new TargetPool({
 			service,
 			instanceId: instance.id,
@@ -188,7 +224,7 @@
 			coldTargetOwners: this._options.coldTargetOwners,
 			maxResponseBytes: limits.memoryBytes / responseMemoryDivisor,
 			getMaxConnections: ({connectionsPerTarget}) => Math.max(1, Math.floor(share.divide(connectionsPerTarget))),
-			getProbeRate: () => share.divide(limits.probesPerTargetPerSecond),
+			getProbeRate: () => share.divide(limits.probesPerTargetPerSecond) * traffic.factor,
 			guards: [createEvacuationGuard(failureDomain => view.operator.isEvacuated(failureDomain))],
 			onRelease() {
 				placer.placeWaiting();
@@ -205,8 +241,13 @@
 			pool,
 			placer,
 			admission,
+			traffic,
 			targets: [],
-			retryBudget: new RetryBudget({ratio: limits.retryRatio * retryRatioShare, getSlack: () => share.divideWindowLimit(limits.retrySlack), windowMs: limits.retryWindowMs}),
+			retryBudget: new RetryBudget({
+				ratio: limits.retryRatio * retryRatioShare,
+				getSlack: () => share.divideWindowLimit(limits.retrySlack) * traffic.getWindowFactor(clock.now()),
+				windowMs: limits.retryWindowMs,
+			}),
 		};
 	}
 }
--- a/src/controllers/gateway/service-admission.ts
+++ b/src/controllers/gateway/service-admission.ts
@@ -1,5 +1,6 @@
 import type {ServicePriority} from '../../common/gateway/service-priority.js';
 import {canContend} from '../../policy/gateway/can-contend.js';
+import {canStayQueued} from '../../policy/gateway/can-stay-queued.js';
 import {ClassFloor} from '../../policy/gateway/class-floor.js';
 import {minRetryAfterMs} from '../../policy/gateway/min-retry-after-ms.js';
 import {ReturnSchedule} from '../../policy/gateway/return-schedule.js';
@@ -12,18 +13,20 @@
 	readonly priority: number;
 };
 
+type Waiter = Parameters<typeof canStayQueued>[0] & {readonly priority: number};
+
 type Refusal = Parameters<ReturnSchedule['schedule']>[0];
 
 /** Divides the capacity of one service by the priorities of its routes. Has no effect while they have one priority. */
 export class ServiceAdmission {
-	private readonly _floor = new ClassFloor();
-	private readonly _scarcity = new ScarcityLevel();
-	private readonly _returns: ReturnSchedule;
 	private _priorities: readonly ServicePriority[] = [];
 
-	constructor(random: () => number) {
-		this._returns = new ReturnSchedule(random);
-	}
+	constructor(
+		random: () => number,
+		private readonly _floor = new ClassFloor(),
+		private readonly _scarcity = new ScarcityLevel(),
+		private readonly _returns = new ReturnSchedule(random),
+	) {}
 
 	/** Whether the routes of the service have different priorities. */
 	get isActive(): boolean {
@@ -45,6 +48,13 @@
 		return this.isActive && priority !== this._priorities[0]?.priority && this._floor.isStarved(priority);
 	}
 
+	/** Creates a copy whose changes do not reach this one, for a dry run. */
+	createCopy(): ServiceAdmission {
+		const copy = new ServiceAdmission(() => 0, this._floor.createCopy(), this._scarcity.createCopy(), this._returns.createCopy());
+		copy.setPriorities(this._priorities);
+		return copy;
+	}
+
 	noteArrival(priority: number): void {
 		this._floor.noteArrival(priority);
 	}
@@ -74,6 +84,21 @@
 		);
 	}
 
+	/** Whether a request stays in the queue, or is refused since it is late and would not look for a slot again. */
+	canStayQueued(waiter: Waiter, usualMs: number, now: number): boolean {
+		return canStayQueued(waiter, {level: this.updateLevel(now), isStarved: this._floor.isStarved(waiter.priority), usualMs}, now);
+	}
+
+	/** Records a late request that was refused because of the level. */
+	noteLateRefusal(now: number): void {
+		this._scarcity.noteRefusal(now);
+	}
+
+	/** Computes the time until late requests are expected to find a slot, in ms. */
+	computeFallMs(): number {
+		return this._scarcity.computeFallMs();
+	}
+
 	/** Computes the retry-after time of a request that is refused because of its expected wait, in ms. */
 	computeRetryAfterMs(refusal: Refusal): number {
 		return this.isActive ? this._returns.schedule({...refusal, waitMs: Math.max(refusal.waitMs, this._scarcity.computeFallMs())}) : Math.max(minRetryAfterMs, refusal.waitMs);
--- a/src/controllers/gateway/target-pool.test.ts
+++ b/src/controllers/gateway/target-pool.test.ts
@@ -3,6 +3,7 @@
 } from 'vitest';
 import {gatewayTarget} from '../../../test/support/gateway-target.js';
 import {AttemptEnd} from '../../common/gateway/attempt-end.js';
+import {ExclusionReason} from '../../common/gateway/exclusion-reason.js';
 import type {TargetLoad} from '../../common/gateway/target-load.js';
 import type {TargetReport} from '../../common/gateway/target-report.js';
 import {silentLogger} from '../../../test/support/silent-logger.js';
@@ -236,7 +237,7 @@
 		const granted: string[] = [];
 		const blocked = new Map<string, number>(Object.entries(blockedMs));
 		guards = [{
-			computeBlockedMs: ({target}) => blocked.get(target.id) ?? 0,
+			reason: ExclusionReason.Paused, computeBlockedMs: ({target}) => blocked.get(target.id) ?? 0,
 			noteGrant(record) {
 				granted.push(record.target.id);
 			},
@@ -315,11 +316,28 @@
 
 	// Guards against requests that find no target because the healthy ones are out of use.
 	it('chooses an unhealthy target when guards keep requests away from all healthy ones', async () => {
-		guards = [{computeBlockedMs: ({target}) => target.id === 'a-1' ? Number.POSITIVE_INFINITY : 0, noteGrant: () => undefined, canSend: () => true}];
+		guards = [{
+			reason: ExclusionReason.Paused, computeBlockedMs: ({target}) => target.id === 'a-1' ? Number.POSITIVE_INFINITY : 0, noteGrant: () => undefined, canSend: () => true,
+		}];
 		unhealthyIds = ['b-1'];
 		loads = new Map([['a-1', idle], ['b-1', idle]]);
 		pool = createPool(['a-1', 'b-1']);
 		const choice = await pool.chooseWithProbes(anyTarget);
 		expect(choice?.pooledTarget.record.target.id).toBe('b-1');
 	});
+
+	// Guards against requests that look only at the busy targets of their own failure domain while the targets of another one idle.
+	it('finds an idle target in another failure domain once those in the own domain are busy', async () => {
+		const ids = [...Array.from({length: 20}, (_item, index) => `a-${index}`), 'b-1'];
+		loads = new Map(ids.map(id => [id, id === 'b-1' ? idle : {...idle, running: 6}]));
+		pool = createPool(ids);
+		const found: Array<string | undefined> = [];
+		for (let look = 0; look < 4; look++) {
+			const choice = await pool.chooseWithProbes(anyTarget);
+			found.push(choice?.pooledTarget.record.target.id);
+			now += 100;
+		}
+
+		expect(found.filter(id => id === 'b-1').length).toBeGreaterThanOrEqual(2);
+	});
 });
--- a/src/policy/gateway/cold-target-owners.ts
+++ b/src/policy/gateway/cold-target-owners.ts
@@ -60,7 +60,6 @@
 	private _memberKey = '';
 	private _members: readonly KnownMember[] = [];
 	private _runningCount = 0;
-	/** Whether this instance is among the members: false once it has announced that it leaves. */
 	private _changedAt: number;
 	private _settledCount = 1;
 	private _grownAt: number;
@@ -71,6 +70,23 @@
 		this._grownAt = now;
 	}
 
+	/** Creates a copy whose changes do not reach this one, for a dry run. */
+	createCopy(): ColdTargetOwners {
+		const copy = new ColdTargetOwners(this._options, this._startedAt);
+		copy._changeNumber = this._changeNumber;
+		copy._memberKey = this._memberKey;
+		copy._members = this._members;
+		copy._runningCount = this._runningCount;
+		copy._changedAt = this._changedAt;
+		copy._settledCount = this._settledCount;
+		copy._grownAt = this._grownAt;
+		for (const [targetId, entry] of this._entries) {
+			copy._entries.set(targetId, {...entry});
+		}
+
+		return copy;
+	}
+
 	/** Applies changes of the known instances. */
 	refresh(now: number): void {
 		const {members} = this._options;
