--- a/src/controllers/gateway/operator-reader.ts
+++ b/src/controllers/gateway/operator-reader.ts
@@ -127,13 +127,13 @@
 		const hasEvacuations = this._options.view.operator.tracksEvacuations;
 		// Evacuations are small and urgent. Where none exist the store states no revision for them, so while none is known they follow the configuration.
 		if (this._areEvacuationsDue && hasEvacuations && (this._isCheckDue || this._isPositionAsked)) {
-			this._areEvacuationsDue = !(await this._renewEvacuations());
+			this._areEvacuationsDue = !(await this._refreshEvacuations());
 		}
 
 		if (this._isConfigurationDue) {
 			this._isConfigurationDue = !(await this._readConfiguration());
 			if (this._areEvacuationsDue && hasEvacuations) {
-				this._areEvacuationsDue = !(await this._renewEvacuations());
+				this._areEvacuationsDue = !(await this._refreshEvacuations());
 			}
 		}
 
@@ -198,7 +198,7 @@
 	}
 
 	/** Reads the evacuations, or confirms the held ones by a check; returns whether this instance has the newest. */
-	private async _renewEvacuations(): Promise<boolean> {
+	private async _refreshEvacuations(): Promise<boolean> {
 		const result = this._isCheckDue ? await this._checkEvacuations() : CheckResult.ReadDue;
 		switch (result) {
 			case CheckResult.Confirmed: {
