--- a/review/lib-2/upstream.mjs
+++ b/review/lib-2/upstream.mjs
@@ -45,11 +45,12 @@
 
 	/** Reads the body, works and answers with a signed success. */
 	serve(request, response, attemptId) {
+		const {responseBytes} = this;
 		request.resume();
 		request.once('end', () => {
 			this.noteRun(attemptId);
 			setTimeout(() => {
-				const body = Buffer.alloc(this.responseBytes, attemptId);
+				const body = Buffer.alloc(responseBytes, attemptId);
 				response.writeHead(200, {...this.createHeaders(attemptId, body.length), 'response-signature': `signed.${this.id}`});
 				response.end(body);
 			}, this.workMs);
