Log the errors of callers' connections

The logs could not tell whether the connection was refused before anything was read from it, or its request was refused by the chain and sent all the same: a refusal outside the chain left no line.

`client-error` states the code, what had been read from the connection, and the requests in progress on it. Disconnected callers are not logged.

--- a/src/bin/entry-daemon.ts
+++ b/src/bin/entry-daemon.ts
@@ -121,7 +121,7 @@
 		this._pauseWatch = this._store.add(new PauseWatch({clock: systemClock, logger: this._logger}));
 		this._pauseController = this._store.add(this._createPauseController());
 		this._shutdown = this._store.add(this._createShutdown());
-		this._connections = new CallerConnections(_settings.limits.headerBytes);
+		this._connections = new CallerConnections(_settings.limits.headerBytes, this._logger);
 		this._decisions = this._createDecisions();
 		this._chain = this._createChain();
 		this._dataListener = this._store.add(new DataListener({
--- a/src/bin/gateway-daemon.ts
+++ b/src/bin/gateway-daemon.ts
@@ -69,7 +69,7 @@
 	private readonly _readTracker = new SocketReadTracker(systemClock);
 	private readonly _intake: IntakeController;
 	private readonly _chain: FilterChain<GatewayContext, BufferedResponse>;
-	private readonly _connections = new CallerConnections(maxHeaderSize);
+	private readonly _connections: CallerConnections;
 	private readonly _callerListener: CallerListener;
 	private readonly _responseMemory: ResponseMemory;
 	private readonly _clients: ClientConnections;
@@ -81,6 +81,7 @@
 	constructor(private readonly _options: GatewayDaemonOptions) {
 		const {settings, logger, site} = _options;
 		this._notableLogger = new RateLimitedLogger({logger, clock: systemClock, linesPerSecond: notableLinesPerSecond});
+		this._connections = new CallerConnections(maxHeaderSize, this._notableLogger);
 		this._metrics.recordGauge('process.start_time_seconds', Math.floor(performance.timeOrigin / msPerSecond));
 		this._view = this._store.add(new SiteView({clock: systemClock, logger, evacuationMs: settings.limits.evacuationMs}));
 		this._members = this._store.add(new MemberController({
--- a/src/controllers/caller-connections.ts
+++ b/src/controllers/caller-connections.ts
@@ -1,6 +1,8 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
 import {ErrorKind} from '../common/error-kind.js';
+import type {Logger} from '../common/logger.js';
 import {RequestError} from '../common/request-error.js';
 import {writeSocketProblem} from '../io/write-socket-problem.js';
 
@@ -21,7 +23,7 @@
 	private readonly _openRequests = new Map<Duplex, Map<ServerResponse, OpenRequest>>();
 
 	/** @param _headerBytes - Maximum size of the headers of a request, which the listener enforces. */
-	constructor(private _headerBytes: number) {}
+	constructor(private _headerBytes: number, private readonly _logger: Pick<Logger, 'logError'>) {}
 
 	/**
 	Adds a request. Returns false when an earlier response on the connection closes it: the request will get no response, which tells the
@@ -78,6 +80,10 @@
 	/** Handles an error of the HTTP parser: ends the requests that are incomplete, and closes the connection after the responses to the others. */
 	handleClientError(error: NodeJS.ErrnoException, socket: Duplex): void {
 		const contexts = [...this._openRequests.get(socket)?.values() ?? []].map(({context}) => context);
+		if (socket.writable) {
+			this._logClientError(error, socket, contexts);
+		}
+
 		if (contexts.length === 0) {
 			writeSocketProblem(socket, this._convertClientError(error, false));
 			return;
@@ -97,6 +103,16 @@
 		}
 	}
 
+	private _logClientError({code}: NodeJS.ErrnoException, socket: Duplex, contexts: readonly OpenContext[]): void {
+		this._logger.logError('client-error', {
+			code,
+			remotePort: (socket as Socket).remotePort,
+			bytesRead: (socket as Socket).bytesRead,
+			requests: contexts.length,
+			incomplete: contexts.filter(({request}) => !request.complete).length,
+		});
+	}
+
 	private _closeAfterLast(openRequests: Map<ServerResponse, OpenRequest> | undefined): void {
 		const last = [...openRequests?.keys() ?? []].at(-1);
 		if (last !== undefined) {
