Read nothing more from a connection that was answered outside the chain

Cause: when a connection is refused without a request, the 408, 400 or 431 is written straight to its socket and only the writing side ends; the HTTP parser keeps the socket for up to 1 s. A request that is read in that time passes the chain and is sent. It needs no freeze: a request sent just after the 408 ran as well. With earlier requests in progress nothing was written, but the late request took the place of the last one and was run, and its connection closed without an answer to it.

The connection closes after the last response in progress, also when that response was begun or its request is incomplete.

--- a/src/controllers/caller-connections.ts
+++ b/src/controllers/caller-connections.ts
@@ -4,6 +4,7 @@
 import {ErrorKind} from '../common/error-kind.js';
 import type {Logger} from '../common/logger.js';
 import {RequestError} from '../common/request-error.js';
+import {discardInput} from '../io/discard-input.js';
 import {writeSocketProblem} from '../io/write-socket-problem.js';
 
 type OpenContext = {
@@ -77,7 +78,7 @@
 		}
 	}
 
-	/** Handles an error of the HTTP parser: ends the requests that are incomplete, and closes the connection after the responses to the others. */
+	/** Handles an error of the HTTP parser: ends the requests that are incomplete, and closes the connection after the responses to the others. No further request is read from it. */
 	handleClientError(error: NodeJS.ErrnoException, socket: Duplex): void {
 		const contexts = [...this._openRequests.get(socket)?.values() ?? []].map(({context}) => context);
 		if (socket.writable) {
@@ -93,14 +94,13 @@
 			context.abort(this._convertClientError(error, context.isDispatched));
 		}
 
-		// The parser cannot continue; pending responses are sent before the connection closes.
-		const last = contexts.at(-1);
-		if (last?.request.complete === true) {
-			last.response.once('close', () => {
-				socket.destroy();
-			});
-			last.response.shouldKeepAlive = false;
-		}
+		// Pending responses are sent before the connection closes.
+		discardInput(socket);
+		const last = contexts.at(-1)!;
+		last.response.shouldKeepAlive = false;
+		last.response.once('close', () => {
+			socket.destroy();
+		});
 	}
 
 	private _logClientError({code}: NodeJS.ErrnoException, socket: Duplex, contexts: readonly OpenContext[]): void {
