Read the sockets before a request is refused as overdue

Callers whose request had arrived while the process was paused got 408 when it went on, although they had sent it in time.

The 408 was written although the request waited in the socket.

An overdue request now has until the sockets have been read once, which is the next immediate. It is served if by then its body is complete or, with no body pending, its head has been read; otherwise its connection is refused as before, and nothing more is read from it.

--- a/src/bin/caller-listener.ts
+++ b/src/bin/caller-listener.ts
@@ -46,7 +46,7 @@
 			intake.noteConnection();
 		});
 		server.on('clientError', (error: NodeJS.ErrnoException, socket: Duplex) => {
-			connections.handleClientError(error, socket);
+			void connections.handleClientError(error, socket);
 		});
 	}
 
--- a/src/bin/data-listener.ts
+++ b/src/bin/data-listener.ts
@@ -63,7 +63,7 @@
 			writeSocketProblem(socket, new RequestError(ErrorKind.MethodNotAllowed, 'method CONNECT is not passed on'));
 		});
 		server.on('clientError', (error: NodeJS.ErrnoException, socket: Duplex) => {
-			connections.handleClientError(error, socket);
+			void connections.handleClientError(error, socket);
 		});
 	}
 
--- a/src/controllers/caller-connections.ts
+++ b/src/controllers/caller-connections.ts
@@ -16,12 +16,21 @@
 
 type OpenRequest = {readonly context: OpenContext; readonly endListeners: Array<() => void>};
 
+type Connection = {
+	readonly openRequests: Map<ServerResponse, OpenRequest>;
+	/** Number of requests that have been added, ended ones included. */
+	requestCount: number;
+};
+
+/** Code of the error with which Node.js reports a request that did not arrive in time. */
+const overdueCode = 'ERR_HTTP_REQUEST_TIMEOUT';
+
 /**
 Tracks the requests in progress on each connection of a caller. Responses to pipelined requests are sent in order, so a connection may only
 close after the last of them (RFC 9112, section 9.3.2).
 */
 export class CallerConnections {
-	private readonly _openRequests = new Map<Duplex, Map<ServerResponse, OpenRequest>>();
+	private readonly _connections = new Map<Duplex, Connection>();
 
 	/** @param _headerBytes - Maximum size of the headers of a request, which the listener enforces. */
 	constructor(private _headerBytes: number, private readonly _logger: Pick<Logger, 'logError'>) {}
@@ -32,7 +41,8 @@
 	*/
 	add(context: OpenContext): boolean {
 		const {request: {socket}, response} = context;
-		const openRequests = this._getOpenRequests(socket);
+		const connection = this._getConnection(socket);
+		const {openRequests} = connection;
 		const last = [...openRequests.keys()].at(-1);
 		if (last?.shouldKeepAlive === false) {
 			if (last.headersSent) {
@@ -43,6 +53,7 @@
 			response.shouldKeepAlive = false;
 		}
 
+		connection.requestCount++;
 		openRequests.set(response, {context, endListeners: []});
 		response.once('close', () => {
 			this._end(socket, response);
@@ -52,25 +63,25 @@
 
 	/** Counts the requests in progress on a connection. */
 	countOpen(socket: Duplex): number {
-		return this._openRequests.get(socket)?.size ?? 0;
+		return this._connections.get(socket)?.openRequests.size ?? 0;
 	}
 
 	/** Makes the connection of a request close after the response to the last request on it. */
 	closeAfterLast({request: {socket}}: Pick<OpenContext, 'request'>): void {
-		this._closeAfterLast(this._openRequests.get(socket));
+		this._closeAfterLast(this._connections.get(socket)?.openRequests);
 	}
 
 	/** Changes the maximum size of headers. Node.js applies it to new connections only, so those with requests in progress close after the last of them. */
 	setHeaderLimit(headerBytes: number): void {
 		this._headerBytes = headerBytes;
-		for (const openRequests of this._openRequests.values()) {
+		for (const {openRequests} of this._connections.values()) {
 			this._closeAfterLast(openRequests);
 		}
 	}
 
 	/** Calls a listener when the response to a request was sent or its connection has closed. A response that waits for its turn emits no `close` of its own. */
 	onceEnded({request: {socket}, response}: Pick<OpenContext, 'request' | 'response'>, listener: () => void): void {
-		const openRequest = this._openRequests.get(socket)?.get(response);
+		const openRequest = this._connections.get(socket)?.openRequests.get(response);
 		if (openRequest === undefined) {
 			response.once('close', listener);
 		} else {
@@ -78,9 +89,16 @@
 		}
 	}
 
-	/** Handles an error of the HTTP parser: ends the requests that are incomplete, and closes the connection after the responses to the others. No further request is read from it. */
-	handleClientError(error: NodeJS.ErrnoException, socket: Duplex): void {
-		const contexts = [...this._openRequests.get(socket)?.values() ?? []].map(({context}) => context);
+	/**
+	Handles an error of the HTTP parser: ends the requests that are incomplete, and closes the connection after the responses to the others. No
+	further request is read from it. A request that is overdue has the time until the sockets have been read, since it may wait there.
+	*/
+	async handleClientError(error: NodeJS.ErrnoException, socket: Duplex): Promise<void> {
+		if (error.code === overdueCode && await this._confirmArrival(socket)) {
+			return;
+		}
+
+		const contexts = this._listContexts(socket);
 		if (socket.writable) {
 			this._logClientError(error, socket, contexts);
 		}
@@ -103,6 +121,23 @@
 		});
 	}
 
+	/** Resolves, once the sockets have been read, with whether what is overdue has arrived: the bodies of the requests in progress or, when these are complete, a further head. */
+	private async _confirmArrival(socket: Duplex): Promise<boolean> {
+		const incomplete = this._listContexts(socket).filter(({request}) => !request.complete);
+		const requestCount = this._connections.get(socket)?.requestCount ?? 0;
+		// After a pause of the process, timers run before the sockets are read; immediates run after it.
+		await new Promise<void>(resolve => {
+			setImmediate(resolve);
+		});
+		return incomplete.length > 0
+			? incomplete.every(({request}) => request.complete)
+			: (this._connections.get(socket)?.requestCount ?? 0) > requestCount;
+	}
+
+	private _listContexts(socket: Duplex): OpenContext[] {
+		return [...this._connections.get(socket)?.openRequests.values() ?? []].map(({context}) => context);
+	}
+
 	private _logClientError({code}: NodeJS.ErrnoException, socket: Duplex, contexts: readonly OpenContext[]): void {
 		this._logger.logError('client-error', {
 			code,
@@ -125,7 +160,7 @@
 			return new RequestError(ErrorKind.HeadersTooLarge, `the headers have more than ${this._headerBytes} bytes`);
 		}
 
-		if (error.code === 'ERR_HTTP_REQUEST_TIMEOUT') {
+		if (error.code === overdueCode) {
 			const kind = isDispatched ? ErrorKind.RequestTooSlowDispatched : ErrorKind.RequestTooSlow;
 			return new RequestError(kind, 'the request did not arrive in time');
 		}
@@ -133,25 +168,25 @@
 		return new RequestError(isDispatched ? ErrorKind.BodyInterrupted : ErrorKind.MalformedRequest, error.message);
 	}
 
-	private _getOpenRequests(socket: Duplex): Map<ServerResponse, OpenRequest> {
-		let openRequests = this._openRequests.get(socket);
-		if (openRequests === undefined) {
-			openRequests = new Map();
-			this._openRequests.set(socket, openRequests);
+	private _getConnection(socket: Duplex): Connection {
+		let connection = this._connections.get(socket);
+		if (connection === undefined) {
+			connection = {openRequests: new Map(), requestCount: 0};
+			this._connections.set(socket, connection);
 			socket.once('close', () => {
-				for (const response of this._openRequests.get(socket)?.keys() ?? []) {
+				for (const response of this._connections.get(socket)?.openRequests.keys() ?? []) {
 					this._end(socket, response);
 				}
 
-				this._openRequests.delete(socket);
+				this._connections.delete(socket);
 			});
 		}
 
-		return openRequests;
+		return connection;
 	}
 
 	private _end(socket: Duplex, response: ServerResponse): void {
-		const openRequests = this._openRequests.get(socket);
+		const openRequests = this._connections.get(socket)?.openRequests;
 		const openRequest = openRequests?.get(response);
 		openRequests?.delete(response);
 		for (const listener of openRequest?.endListeners ?? []) {
