Run no request behind a refusal that closes its connection

A caller that sends requests ahead got 413 or 503 ("not run", connection: close) for one of them, and the connection closed without an answer to the next one, which had run.

Cause: a response that closes the connection was known by `shouldKeepAlive`, which Node.js leaves true when `connection: close` is set as a header, as the refusals of bodies and writeProblem did. While the refusal waits behind an earlier response, the rest of the body is read, and then the request behind it. Refusals for lack of memory were in no list of the connection's requests at all.

The refusals set `shouldKeepAlive`, from which Node.js writes the header, and a refusal for lack of memory is added to the connection's requests.

--- a/src/bin/caller-listener.ts
+++ b/src/bin/caller-listener.ts
@@ -78,6 +78,10 @@
 	private _handleRequest(request: IncomingMessage, response: ServerResponse): void {
 		const {chain, connections, clients, pauseWatch, readTracker, requestIdHeader} = this._options;
 		if (!clients.admit(request, response)) {
+			// Its response may close the connection, so requests behind it must not be dispatched.
+			connections.add({
+				request, response, isDispatched: false, abort: () => undefined,
+			});
 			return;
 		}
 
--- a/src/controllers/caller-connections.ts
+++ b/src/controllers/caller-connections.ts
@@ -45,7 +45,7 @@
 		const {openRequests} = connection;
 		const last = [...openRequests.keys()].at(-1);
 		if (last?.shouldKeepAlive === false) {
-			if (last.headersSent) {
+			if (last.headersSent || response.headersSent) {
 				return false;
 			}
 
--- a/src/filters/gateway/send-response-filter.ts
+++ b/src/filters/gateway/send-response-filter.ts
@@ -58,7 +58,7 @@
 
 		if (error.kind === ErrorKind.BodyTooLarge || error.kind === ErrorKind.RequestTooSlow) {
 			// The rest of any other body is read and dropped: closing the connection meanwhile would reset it, and the response would be lost.
-			headers.connection = 'close';
+			response.shouldKeepAlive = false;
 		}
 
 		response.writeHead(status, {...headers, 'content-length': Buffer.byteLength(body)});
--- a/src/io/write-problem.ts
+++ b/src/io/write-problem.ts
@@ -20,7 +20,7 @@
 	response.setHeader('content-length', Buffer.byteLength(body));
 	if (!request.complete) {
 		// A persistent connection would require reading the rest of the body before the next request.
-		response.setHeader('connection', 'close');
+		response.shouldKeepAlive = false;
 	}
 
 	response.writeHead(status);
