Handle the errors of all listeners' connections as those of callers

Who asked a gateway whether it is ready, for addresses, for metrics, or as a peer, got 408 for a question that had waited in the socket during a pause of the process. And a request in progress on these listeners was answered by the 400 or 408 meant for the one behind it, although it was being handled.

createTrackedListener passes their errors to CallerConnections.

--- a/src/bin/entry-daemon.ts
+++ b/src/bin/entry-daemon.ts
@@ -12,6 +12,7 @@
 import {ConnectionController} from '../controllers/connection-controller.js';
 import {FleetController} from '../controllers/fleet-controller.js';
 import {createDecisions} from '../controllers/create-decisions.js';
+import {createTrackedListener} from '../controllers/create-tracked-listener.js';
 import {KeyController} from '../controllers/key-controller.js';
 import {MembershipController} from '../controllers/membership-controller.js';
 import {PauseController} from '../controllers/pause-controller.js';
@@ -40,7 +41,7 @@
 import {ShutdownFilter} from '../filters/shutdown-filter.js';
 import {RefuseDuringShutdownFilter} from '../filters/refuse-during-shutdown-filter.js';
 import {DebugLogger} from '../io/debug-logger.js';
-import {HttpListener} from '../io/http-listener.js';
+import type {HttpListener} from '../io/http-listener.js';
 import {ListenerOpener} from '../io/listener-opener.js';
 import {LoadClient} from '../io/load-client.js';
 import {PeerServer} from '../io/peer/peer-server.js';
@@ -135,10 +136,10 @@
 			}));
 		}
 
-		this._routeListener = this._store.add(new HttpListener({}, (request, response) => {
+		this._routeListener = this._store.add(createTrackedListener({}, (request, response) => {
 			this._handleRoute(request, response);
 		}, this._logger));
-		this._operatorListener = this._store.add(new HttpListener({}, (_request, response) => {
+		this._operatorListener = this._store.add(createTrackedListener({}, (_request, response) => {
 			writeJson(response, 200, this.describeStatus());
 		}, this._logger));
 		this._peerServer = this._store.add(new PeerServer({
--- a/src/bin/gateway-listeners.ts
+++ b/src/bin/gateway-listeners.ts
@@ -5,6 +5,7 @@
 import {DisposableStore} from '../common/disposable-store.js';
 import type {GatewaySettings} from '../common/gateway/gateway-settings.js';
 import type {Logger} from '../common/logger.js';
+import {createTrackedListener} from '../controllers/create-tracked-listener.js';
 import type {ClientConnections} from '../controllers/gateway/client-connections.js';
 import {HeadMemory} from '../controllers/gateway/head-memory.js';
 import type {MemberController} from '../controllers/gateway/member-controller.js';
@@ -12,7 +13,7 @@
 import {createCallHandler} from '../io/gateway/create-call-handler.js';
 import {createSyncRouter} from '../io/gateway/create-sync-router.js';
 import {parseAddress} from '../io/gateway/parse-address.js';
-import {HttpListener} from '../io/http-listener.js';
+import type {HttpListener} from '../io/http-listener.js';
 import {ListenerOpener} from '../io/listener-opener.js';
 import {systemClock} from '../io/system-clock.js';
 import {HeldBytes} from '../policy/gateway/held-bytes.js';
@@ -133,7 +134,7 @@
 	private _createListener(options: ServerOptions, handle: RequestHandler): HttpListener {
 		const {clients, notableLogger} = this._options;
 		const limits = {requestTimeout: questionTimeoutMs, headersTimeout: peerRequestTimeoutMs, connectionsCheckingInterval: connectionCheckMs};
-		return this._store.add(new HttpListener({...limits, ...options}, async (request, response) => {
+		return this._store.add(createTrackedListener({...limits, ...options}, async (request, response) => {
 			if (clients.admit(request, response, questionsPerConnection)) {
 				await handle(request, response);
 			}
