Do not answer CONNECT in place of the requests before it

A caller of rattansill-entry that sent CONNECT behind a request in progress read 405 ("not run") as the answer to that request, which ran, and never got its own.

Cause: the refusal of CONNECT was written straight to the socket whatever was in progress on the connection.

CONNECT takes the way of a malformed request now: with requests in progress the connection closes after their responses, else it gets 405. A gateway has no such answer; Node.js closes the connection there.

Test: in test/refused-connections.test.ts, which read 405 in place of 200 before.

--- a/src/bin/data-listener.ts
+++ b/src/bin/data-listener.ts
@@ -14,7 +14,6 @@
 import {RequestContext} from '../filters/request-context.js';
 import {CallerWatch} from '../io/caller-watch.js';
 import {HttpListener} from '../io/http-listener.js';
-import {writeSocketProblem} from '../io/write-socket-problem.js';
 import {checkRequestHead} from '../policy/check-request-head.js';
 import {maxPipelinedRequests} from '../policy/max-pipelined-requests.js';
 
@@ -60,7 +59,7 @@
 		});
 		server.on('connect', (_request: IncomingMessage, socket: Duplex) => {
 			socket.on('error', () => undefined);
-			writeSocketProblem(socket, new RequestError(ErrorKind.MethodNotAllowed, 'method CONNECT is not passed on'));
+			connections.refuseRest(socket, new RequestError(ErrorKind.MethodNotAllowed, 'method CONNECT is not passed on'));
 		});
 		server.on('clientError', (error: NodeJS.ErrnoException, socket: Duplex) => {
 			void connections.handleClientError(error, socket);
--- a/src/controllers/caller-connections.ts
+++ b/src/controllers/caller-connections.ts
@@ -90,8 +90,8 @@
 	}
 
 	/**
-	Handles an error of the HTTP parser: ends the requests that are incomplete, and closes the connection after the responses to the others. No
-	further request is read from it. A request that is overdue has the time until the sockets have been read, since it may wait there.
+	Handles an error of the HTTP parser: ends the requests that are incomplete, and refuses what follows on the connection. A request that is overdue
+	has the time until the sockets have been read, since it may wait there.
 	*/
 	async handleClientError(error: NodeJS.ErrnoException, socket: Duplex): Promise<void> {
 		if (error.code === overdueCode && await this._confirmArrival(socket)) {
@@ -103,20 +103,23 @@
 			this._logClientError(error, socket, contexts);
 		}
 
-		if (contexts.length === 0) {
-			writeSocketProblem(socket, this._convertClientError(error, false));
-			return;
-		}
-
+		this.refuseRest(socket, this._convertClientError(error, false));
 		for (const context of contexts.filter(({request}) => !request.complete)) {
 			context.abort(this._convertClientError(error, context.isDispatched));
 		}
+	}
+
+	/** Reads nothing more from a connection and closes it: after the responses to the requests in progress or, when there are none, with an error as the response. */
+	refuseRest(socket: Duplex, error: RequestError): void {
+		const last = this._listContexts(socket).at(-1)?.response;
+		if (last === undefined) {
+			writeSocketProblem(socket, error);
+			return;
+		}
 
-		// Pending responses are sent before the connection closes.
 		discardInput(socket);
-		const last = contexts.at(-1)!;
-		last.response.shouldKeepAlive = false;
-		last.response.once('close', () => {
+		last.shouldKeepAlive = false;
+		last.once('close', () => {
 			socket.destroy();
 		});
 	}
--- a/test/refused-connections.test.ts
+++ b/test/refused-connections.test.ts
@@ -116,4 +116,15 @@
 		expect(ran.toSorted()).toEqual(paths.toSorted());
 		connection.destroy();
 	});
+
+	// Guards against an answer, "not run", in place of the one to a request that runs.
+	it('answers a request in progress, and not the CONNECT behind it', async () => {
+		ran.length = 0;
+		const connection = await openRawConnection(fixture.dataPort);
+		connection.write(`${createRequest('/slow')}CONNECT shop:80 HTTP/1.1\r\nHost: shop\r\n\r\n${createRequest('/behind')}`);
+		await connection.closed;
+		expect(connection.received.match(/^HTTP\/1.1 \d+/gmv)).toEqual(['HTTP/1.1 200']);
+		expect(connection.received).toContain('ran /slow');
+		expect(ran).toEqual(['/slow']);
+	});
 });
