Give the tests of refused connections longer timeouts

A stall of the test's process of 350 ms between two of its steps could make a request late that the test sends in time.

--- a/src/controllers/create-tracked-listener.test.ts
+++ b/src/controllers/create-tracked-listener.test.ts
@@ -8,10 +8,10 @@
 import type {HttpListener} from '../io/http-listener.js';
 import {createTrackedListener} from './create-tracked-listener.js';
 
-const headersTimeoutMs = 200;
-const handlingMs = 300;
+const headersTimeoutMs = 500;
+const handlingMs = 1000;
 /** Longer than the timeout and the interval at which connections are checked, so that the check is due when the process goes on. */
-const pauseMs = 500;
+const pauseMs = 900;
 
 const createRequest = (path: string): string => `GET ${path} HTTP/1.1\r\nHost: h\r\n\r\n`;
 
--- a/test/refused-connections.test.ts
+++ b/test/refused-connections.test.ts
@@ -6,12 +6,12 @@
 import {EntryFixture} from './support/entry-fixture.js';
 import {openRawConnection} from './support/open-raw-connection.js';
 
-const headersTimeoutMs = 400;
+const headersTimeoutMs = 800;
 /** Time in which a request that was read is run, in ms. */
 const settleMs = 300;
-const serviceTimeMs = 1500;
+const serviceTimeMs = 2400;
 /** Longer than the timeouts and the interval at which connections are checked, so that the check is due when the process goes on. */
-const pauseMs = 1000;
+const pauseMs = 1800;
 
 type ConnectionCase = {
 	readonly name: string;
@@ -93,7 +93,7 @@
 	it.each(cases)('does not run a request $name once it has refused the connection', async connectionCase => {
 		const {first, isFirstInProgress = false, late, outcome} = connectionCase;
 		const connection = await openConnection(connectionCase);
-		await (isFirstInProgress ? sleep(3 * headersTimeoutMs) : waitFor(() => connection.received.includes('HTTP/1.1 408 ')));
+		await (isFirstInProgress ? sleep(2 * headersTimeoutMs) : waitFor(() => connection.received.includes('HTTP/1.1 408 ')));
 		connection.write(late);
 		await sleep(settleMs);
 		await waitFor(() => connection.isEnded);
