Log when a configuration was announced, fetched and read, and how long it took

The logs did not tell whether an instance that has a configuration late had not heard of it, could not get it from its peers, or spent the time on the transfer or the check. New lines: configuration-announced, configuration-fetched, configuration-read; configuration-in-force tells the lag, configuration-fetch-failed the version and the time; metrics for the calls, their duration and the check. No change of logic. The test of the fetcher expects the two new fields of the line.

--- a/src/controllers/gateway/configuration-fetcher.test.ts
+++ b/src/controllers/gateway/configuration-fetcher.test.ts
@@ -95,6 +95,8 @@
 		fetcher.fetchNewer();
 		await settle();
 		expect(asked).toEqual(['damaged', 'damaged']);
-		expect(lines).toContainEqual(['configuration-fetch-failed', {peer: 'damaged', error: 'timeout'}]);
+		expect(lines).toContainEqual(['configuration-fetch-failed', {
+			peer: 'damaged', version, error: 'timeout', tookMs: 0,
+		}]);
 	});
 });
--- a/src/controllers/gateway/configuration-fetcher.ts
+++ b/src/controllers/gateway/configuration-fetcher.ts
@@ -57,8 +57,9 @@
 	}
 
 	private async _fetchFrom(holder: ConfigurationHolder): Promise<void> {
-		const {client, view, logger} = this._options;
-		const {id, peerAddress} = holder;
+		const {client, view, logger, clock} = this._options;
+		const {id, peerAddress, announcedVersion} = holder;
+		const startedAt = clock.now();
 		const {configuration: version} = view.version;
 		this._fetching.add(id);
 		const fetched = await client.fetchConfiguration(peerAddress, version);
@@ -71,7 +72,9 @@
 			if (fetched.value === undefined) {
 				this._refuse(holder, {field: '(root)', detail: `no version above ${version}, which the peer has announced`});
 			} else {
-				view.offerConfiguration(fetched.value.configuration, fetched.value.ageMs);
+				const {configuration, ageMs} = fetched.value;
+				logger.logInfo('configuration-fetched', {peer: id, version: configuration.version, tookMs: Math.round(clock.now() - startedAt)});
+				view.offerConfiguration(configuration, ageMs);
 			}
 
 			return;
@@ -79,7 +82,9 @@
 
 		switch (fetched.error.kind) {
 			case PeerFailureKind.Unreachable: {
-				logger.logInfo('configuration-fetch-failed', {peer: id, error: fetched.error.detail});
+				logger.logInfo('configuration-fetch-failed', {
+					peer: id, version: announcedVersion, error: fetched.error.detail, tookMs: Math.round(clock.now() - startedAt),
+				});
 				break;
 			}
 
--- a/src/controllers/gateway/operator-reader.ts
+++ b/src/controllers/gateway/operator-reader.ts
@@ -165,6 +165,10 @@
 		// The registry holds nothing newer than what was active before the call, even if it was restored with an older version.
 		this._readVersion = Math.max(read.value.version, heldVersion);
 		const ageMs = clock.now() - startedAt;
+		if (read.value.version > heldVersion) {
+			this._options.logger.logInfo('configuration-read', {version: read.value.version, tookMs: Math.round(ageMs)});
+		}
+
 		view.offerConfiguration(read.value, ageMs);
 		view.confirmConfiguration(this._readVersion, ageMs);
 		return true;
--- a/src/controllers/gateway/operator-view.ts
+++ b/src/controllers/gateway/operator-view.ts
@@ -128,6 +128,7 @@
 	*/
 	offerConfiguration(configuration: GatewayConfiguration, ageMs: number): void {
 		const isNewer = configuration.version > (this._configuration?.version ?? 0);
+		const lagMs = Math.round(this.configurationLagMs);
 		if (isNewer) {
 			this._configuration = configuration;
 			this._configurationConfirmedAt = Number.NEGATIVE_INFINITY;
@@ -136,7 +137,9 @@
 
 		this._confirmConfiguration(configuration.version, ageMs);
 		if (isNewer) {
-			this._options.logger.logInfo('configuration-in-force', {version: configuration.version, routes: configuration.routes.length, services: configuration.services.length});
+			this._options.logger.logInfo('configuration-in-force', {
+				version: configuration.version, routes: configuration.routes.length, services: configuration.services.length, lagMs,
+			});
 			this._onConfiguration.fire(configuration);
 			this._onChange.fire(true);
 		}
@@ -260,6 +263,7 @@
 		} else if (version !== this._announcedVersion) {
 			this._announcedAt = this._options.clock.now();
 			this._announcedVersion = version;
+			this._options.logger.logInfo('configuration-announced', {version, activeVersion: currentVersion, ageMs: limitAge(this.configurationAgeMs)});
 		}
 	}
 }
--- a/src/io/gateway/sync-client.ts
+++ b/src/io/gateway/sync-client.ts
@@ -18,6 +18,22 @@
 /** Time limit of a call to a peer, in ms; a round trip takes 3 ms, and a small instance under load responds within some tens of ms. */
 const callTimeoutMs = 400;
 
+const describeFetch = (fetched: Result<PublishedConfiguration | undefined, PeerFailure>): string => {
+	if (fetched.isOk()) {
+		return fetched.value === undefined ? 'not-newer' : 'fetched';
+	}
+
+	switch (fetched.error.kind) {
+		case PeerFailureKind.Unreachable: {
+			return 'unreachable';
+		}
+
+		case PeerFailureKind.Refused: {
+			return 'refused';
+		}
+	}
+};
+
 /** Calls the procedures of peer instances over keep-alive connections. */
 export class SyncClient implements DisposableLike {
 	/** Time after which a call counts as failed, in ms. */
@@ -46,13 +62,19 @@
 
 	/** Fetches the configuration that a peer has in force; resolves with undefined when the peer states that it is not newer than `version`. */
 	async fetchConfiguration(peerAddress: string, version: number): Promise<Result<PublishedConfiguration | undefined, PeerFailure>> {
+		const startedAt = performance.now();
 		const result = await fromPromise(
 			this._getClient(peerAddress).configuration.mutate(version),
 			(error): PeerFailure => ({kind: PeerFailureKind.Unreachable, detail: (error as Error).message}),
 		);
-		return result.andThen((reply: unknown) => reply === undefined
+		const answeredAt = performance.now();
+		const decoded = result.andThen((reply: unknown) => reply === undefined
 			? ok(undefined)
 			: decodePublishedConfiguration(reply, version).mapErr(({field, value, message}): PeerFailure => ({kind: PeerFailureKind.Refused, field, detail: `${value}: ${message}`})));
+		this._metrics.countEvent('configuration.fetches', {result: describeFetch(decoded)});
+		this._metrics.recordDuration('configuration.fetch', answeredAt - startedAt);
+		this._metrics.recordDuration('configuration.check', performance.now() - answeredAt);
+		return decoded;
 	}
 
 	dispose(): void {
