Add failing tests of a configuration that spreads too slowly

Three tests hold the parts that the logs show: a peer that had ended was asked 8 times in 100 ms while others had the version; 189 transfers for 118 instances that took it; 10 transfers given up after the time limit of a message. The fleet in memory gets transfers that take time and instances that read a registry.

--- a/src/controllers/gateway/configuration-fetcher.test.ts
+++ b/src/controllers/gateway/configuration-fetcher.test.ts
@@ -1,6 +1,6 @@
 import {err, ok} from 'neverthrow';
 import {
-	beforeEach, describe, expect, it,
+	afterEach, beforeEach, describe, expect, it, vi,
 } from 'vitest';
 import {gatewayConfiguration} from '../../../test/support/gateway-configuration.js';
 import type {ConfigurationHolder} from '../../common/gateway/configuration-holder.js';
@@ -12,7 +12,7 @@
 
 type Fetched = Awaited<ReturnType<SyncClient['fetchConfiguration']>>;
 
-const clock = {now: () => 0};
+const clock = {now: () => Date.now()};
 const {version} = gatewayConfiguration;
 const damaged: ConfigurationHolder = {
 	id: 'damaged', incarnation: 1, peerAddress: 'damaged', announcedVersion: version,
@@ -25,7 +25,7 @@
 	let lines: unknown[] = [];
 	let asked: string[] = [];
 	let holders: readonly ConfigurationHolder[] = [];
-	const answers = new Map<string, Fetched>();
+	const answers = new Map<string, Fetched | Promise<Fetched>>();
 	const addLine = (event: string, fields: unknown) => {
 		lines.push([event, fields]);
 	};
@@ -58,6 +58,11 @@
 		});
 	});
 
+	afterEach(() => {
+		fetcher.dispose();
+		vi.useRealTimers();
+	});
+
 	it.each([
 		['is refused', refused, {field: 'limits', detail: 'missing'}],
 		['is not newer than the one in force', ok(undefined), {field: '(root)', detail: 'no version above 0, which the peer has announced'}],
@@ -87,16 +92,41 @@
 		expect(view.configuration).toBeUndefined();
 	});
 
+	// Guards against a peer that has ended and is asked again and again, since its last message is the latest, while others have the configuration.
+	it('asks another holder at once when a peer could not be reached', async () => {
+		answers.set('damaged', unreachable);
+		holders = [damaged, sound];
+		fetcher.fetchNewer();
+		await settle();
+		expect(asked).toEqual(['damaged', 'sound']);
+		expect(view.version.configuration).toBe(version);
+	});
+
+	// Guards against transfers and checks that are done twice, each on an instance that its neighbours wait for.
+	it('asks one holder at a time, and another one when the first is slow', async () => {
+		vi.useFakeTimers();
+		answers.set('damaged', Promise.race<Fetched>([]));
+		holders = [damaged, sound];
+		fetcher.fetchNewer();
+		fetcher.fetchNewer();
+		await vi.advanceTimersByTimeAsync(100);
+		expect(asked).toEqual(['damaged']);
+		await vi.advanceTimersByTimeAsync(500);
+		expect(asked).toEqual(['damaged', 'sound']);
+		expect(view.version.configuration).toBe(version);
+	});
+
 	it('asks a peer again that could not be reached', async () => {
+		vi.useFakeTimers();
 		answers.set('damaged', unreachable);
 		holders = [damaged];
 		fetcher.fetchNewer();
-		await settle();
+		await vi.advanceTimersByTimeAsync(400);
 		fetcher.fetchNewer();
-		await settle();
+		await vi.advanceTimersByTimeAsync(10);
 		expect(asked).toEqual(['damaged', 'damaged']);
 		expect(lines).toContainEqual(['configuration-fetch-failed', {
-			peer: 'damaged', version, error: 'timeout', tookMs: 0,
+			peer: 'damaged', version, error: 'timeout', tookMs: expect.any(Number) as number,
 		}]);
 	});
 });
--- a/src/io/gateway/sync-client.test.ts
+++ b/src/io/gateway/sync-client.test.ts
@@ -75,6 +75,20 @@
 		expect(meter.totalBytes).toBeLessThan(100_000);
 	});
 
+	// Guards against a large configuration that is dropped and asked for again, since a small message would have arrived in its time.
+	it('waits longer for a configuration than for a message', async () => {
+		const address = await listen();
+		published = {configuration, ageMs: 12};
+		const handleRequest = listener.server.listeners('request')[0] as (...parts: unknown[]) => void;
+		listener.server.removeAllListeners('request');
+		listener.server.on('request', (...parts) => {
+			setTimeout(handleRequest, 700, ...parts);
+		});
+		const [exchanged, fetched] = await Promise.all([client.exchange(address, message), client.fetchConfiguration(address, 2)]);
+		expect(exchanged.isErr()).toBe(true);
+		expect(fetched.isOk()).toBe(true);
+	});
+
 	it('fails a call to an address that nothing listens on', async () => {
 		const exchanged = await client.exchange('127.0.0.1:1', message);
 		expect(exchanged.isErr()).toBe(true);
--- a/test/support/in-memory-fleet.ts
+++ b/test/support/in-memory-fleet.ts
@@ -2,8 +2,10 @@
 import {vi} from 'vitest';
 import {PeerFailureKind} from '../../src/common/gateway/peer-failure-kind.js';
 import type {PublishedConfiguration} from '../../src/common/gateway/published-configuration.js';
+import type {SiteRegistry} from '../../src/common/gateway/site-registry.js';
 import type {SyncMessage} from '../../src/common/gateway/sync-message.js';
 import {MemberController} from '../../src/controllers/gateway/member-controller.js';
+import {RegistryReader} from '../../src/controllers/gateway/registry-reader.js';
 import {SiteView} from '../../src/controllers/gateway/site-view.js';
 import {encodeMember} from '../../src/io/gateway/encode-member.js';
 import {packConfiguration} from '../../src/io/gateway/pack-configuration.js';
@@ -11,9 +13,25 @@
 import {SeededRandom} from '../../tools/random/seeded-random.js';
 import {silentLogger} from './silent-logger.js';
 
-type FleetInstance = {readonly members: MemberController; readonly view: SiteView; readonly metrics: ScrapedMetrics};
+type FleetInstance = {readonly members: MemberController; readonly view: SiteView; readonly metrics: ScrapedMetrics; readonly reader: RegistryReader | undefined};
+type FleetOptions = {
+	readonly seeds: readonly string[];
+	/** Time that each message takes, in ms; messages arrive at once without it. */
+	readonly delayMs?: () => number;
+	/** Time that the transfer of a configuration between two instances takes, with its check, in ms. */
+	readonly transferMs?: () => number;
+	/** Registry from which instances read. Without one, values are offered to a view by the test. */
+	readonly registry?: SiteRegistry;
+};
 type LoggedLine = {readonly instance: string; readonly event: string; readonly fields: Readonly<Record<string, unknown>>};
 
+/** Time limit of a transfer of the configuration between two instances, in ms. */
+const transferLimitMs = 400;
+
+const waitFor = async (ms: number): Promise<void> => new Promise(resolve => {
+	setTimeout(resolve, ms);
+});
+
 const measureMessageBytes = (message: SyncMessage): number => JSON.stringify({...message, members: message.members.map(member => encodeMember(member))}).length;
 
 const stripNewer = ({evacuations: set, ...message}: SyncMessage): SyncMessage => {
@@ -36,8 +54,12 @@
 	olderVersions = new Set<string>();
 	private readonly _random = new SeededRandom(16);
 
-	/** @param _options - Seeds of all instances and, unless messages arrive at once, the time that each takes, in ms. */
-	constructor(private readonly _options: {readonly seeds: readonly string[]; readonly delayMs?: () => number}) {}
+	constructor(private readonly _options: FleetOptions) {}
+
+	/** Draws a number from 0 to 1 from the seeded random numbers of the fleet. */
+	get random(): () => number {
+		return this._random.getNext;
+	}
 
 	/** Instances that are not silent. */
 	get running(): FleetInstance[] {
@@ -46,7 +68,7 @@
 
 	/** Adds an instance, or restarts one without its state. */
 	addInstance(id: string, failureDomain: string, cores = 0.27): void {
-		this.instances.get(id)?.members.dispose();
+		this._disposeInstance(id);
 		const clock = {now: () => Date.now()};
 		const view = new SiteView({clock, logger: silentLogger, evacuationMs: 5000});
 		const metrics = new ScrapedMetrics();
@@ -83,8 +105,12 @@
 				},
 			},
 		});
-		this.instances.set(id, {members, view, metrics});
+		const reader = this._createReader(view, members, metrics);
+		this.instances.set(id, {
+			members, view, metrics, reader,
+		});
 		members.start();
+		void reader?.start();
 	}
 
 	/** Returns the instance with this id; throws when there is none. */
@@ -108,19 +134,43 @@
 	}
 
 	dispose(): void {
-		for (const {members} of this.instances.values()) {
-			members.dispose();
+		for (const id of this.instances.keys()) {
+			this._disposeInstance(id);
 		}
 
 		this.instances.clear();
 	}
 
+	private _disposeInstance(id: string): void {
+		this.instances.get(id)?.members.dispose();
+		this.instances.get(id)?.reader?.dispose();
+	}
+
+	private _createReader(view: SiteView, members: MemberController, metrics: ScrapedMetrics): RegistryReader | undefined {
+		const {registry: source} = this._options;
+		return source && new RegistryReader({
+			source,
+			view,
+			metrics,
+			logger: silentLogger,
+			clock: {now: () => Date.now()},
+			random: this._random.getNext,
+			isReader: () => members.isReader,
+			isStandbyReader: () => members.isStandbyReader,
+			isJoined: () => members.isJoined,
+			onRead(canRead) {
+				members.setCanRead(canRead);
+			},
+			waitsForPeers: false,
+			targetChangeMs: 2000,
+			configurationChangeMs: 2000,
+		});
+	}
+
 	private async _delay(): Promise<void> {
 		const {delayMs} = this._options;
 		if (delayMs !== undefined) {
-			await new Promise(resolve => {
-				setTimeout(resolve, delayMs());
-			});
+			await waitFor(delayMs());
 		}
 	}
 
@@ -128,9 +178,14 @@
 		return this.silent.has(from) || this.silent.has(to) || this.partitioned.has(from) !== this.partitioned.has(to) ? undefined : this.instances.get(to);
 	}
 
-	private _fetchConfiguration(from: string, to: string) {
+	private async _fetchConfiguration(from: string, to: string) {
+		const transferMs = this._options.transferMs?.() ?? 0;
+		if (transferMs > 0) {
+			await waitFor(Math.min(transferMs, transferLimitMs));
+		}
+
 		const peer = this._findReachablePeer(from, to);
-		if (peer === undefined) {
+		if (peer === undefined || transferMs > transferLimitMs) {
 			return err({kind: PeerFailureKind.Unreachable, detail: 'no response'} as const);
 		}
 
