--- a/src/controllers/gateway/configuration-fetcher.ts
+++ b/src/controllers/gateway/configuration-fetcher.ts
@@ -20,16 +20,22 @@
 	readonly listHolders: (version: number) => readonly ConfigurationHolder[];
 };
 
-/** Fetches that may run at the same time; a second peer is asked when the first is slow. */
+/** Transfers that may run at the same time; another peer is asked when the first is slow. */
 const maxConcurrentFetches = 2;
+/** Time after which a transfer counts as slow, in ms; it may still succeed. */
+const slowFetchMs = 400;
+/** Time for which a peer that could not be reached is asked only after all others, and not again itself, in ms. */
+const retryPauseMs = 300;
 /** Lines logged per second for configurations that are refused. */
 const refusalLinesPerSecond = 5;
 
-/** Fetches the configuration from peers that announce a newer one. */
+/** Fetches the configuration from peers that announce a newer one: from one at a time, unless that one is slow. */
 export class ConfigurationFetcher implements DisposableLike {
-	private readonly _fetching = new Set<string>();
+	/** Start of each transfer in progress by the id of the peer, in ms. */
+	private readonly _startedAt = new Map<string, number>();
 	private readonly _chooser = new HolderChooser();
 	private readonly _refusalLogger: Pick<Logger, 'logError'>;
+	private _checkTimer: NodeJS.Timeout | undefined;
 	private _isDisposed = false;
 
 	constructor(private readonly _options: ConfigurationFetcherOptions) {
@@ -37,44 +43,60 @@
 		this._refusalLogger = new RateLimitedLogger({logger, clock, linesPerSecond: refusalLinesPerSecond});
 	}
 
-	/** Starts a fetch if a peer has a newer configuration. Called after each message and in each round. */
+	/** Starts a fetch if a peer has a newer configuration and no other peer is sending one in time. Called after each message and in each round. */
 	fetchNewer(): void {
-		const {view, listHolders} = this._options;
-		const holder = this._chooser.chooseHolder(listHolders(view.version.configuration), this._fetching);
-		if (holder !== undefined && this._fetching.size < maxConcurrentFetches) {
+		const {view, listHolders, clock} = this._options;
+		const now = clock.now();
+		const isWaiting = [...this._startedAt.values()].some(startedAt => now - startedAt < slowFetchMs);
+		if (this._isDisposed || isWaiting || this._startedAt.size >= maxConcurrentFetches) {
+			return;
+		}
+
+		const holder = this._chooser.chooseHolder(listHolders(view.version.configuration), new Set(this._startedAt.keys()), now);
+		if (holder !== undefined) {
 			void runTask(this._options, 'configuration-fetch', async () => {
 				try {
 					await this._fetchFrom(holder);
 				} finally {
-					this._fetching.delete(holder.id);
+					this._startedAt.delete(holder.id);
 				}
 			});
+			this._scheduleCheck(slowFetchMs);
 		}
 	}
 
 	dispose(): void {
 		this._isDisposed = true;
+		clearTimeout(this._checkTimer);
+	}
+
+	/** Looks again for a holder after a time, when a transfer may have become slow or a peer may be asked again. */
+	private _scheduleCheck(ms: number): void {
+		clearTimeout(this._checkTimer);
+		this._checkTimer = setTimeout(() => {
+			this.fetchNewer();
+		}, ms);
 	}
 
 	private async _fetchFrom(holder: ConfigurationHolder): Promise<void> {
 		const {client, view, logger, clock} = this._options;
 		const {id, peerAddress, announcedVersion} = holder;
 		const startedAt = clock.now();
-		const {configuration: version} = view.version;
-		this._fetching.add(id);
-		const fetched = await client.fetchConfiguration(peerAddress, version);
-		this._fetching.delete(id);
+		const getActiveVersion = (): number => view.version.configuration;
+		this._startedAt.set(id, startedAt);
+		const fetched = await client.fetchConfiguration(peerAddress, getActiveVersion);
+		this._startedAt.delete(id);
 		if (this._isDisposed) {
 			return;
 		}
 
 		if (fetched.isOk()) {
-			if (fetched.value === undefined) {
-				this._refuse(holder, {field: '(root)', detail: `no version above ${version}, which the peer has announced`});
-			} else {
+			if (fetched.value !== undefined) {
 				const {configuration, ageMs} = fetched.value;
 				logger.logInfo('configuration-fetched', {peer: id, version: configuration.version, tookMs: Math.round(clock.now() - startedAt)});
 				view.offerConfiguration(configuration, ageMs);
+			} else if (getActiveVersion() < announcedVersion) {
+				this._refuse(holder, {field: '(root)', detail: `no version above ${getActiveVersion()}, which the peer has announced`});
 			}
 
 			return;
@@ -85,6 +107,9 @@
 				logger.logInfo('configuration-fetch-failed', {
 					peer: id, version: announcedVersion, error: fetched.error.detail, tookMs: Math.round(clock.now() - startedAt),
 				});
+				this._chooser.postpone(holder, clock.now() + retryPauseMs);
+				this._scheduleCheck(retryPauseMs);
+				this.fetchNewer();
 				break;
 			}
 
--- a/src/io/gateway/create-call-link.ts
+++ b/src/io/gateway/create-call-link.ts
@@ -8,16 +8,17 @@
 	/** Host and port of the peer. */
 	readonly peerAddress: string;
 	readonly agent: Agent;
-	readonly timeoutMs: number;
+	/** Time limit of a procedure, in ms. */
+	readonly getTimeoutMs: (procedure: string) => number;
 };
 
 const getField = (value: unknown, name: string): unknown => typeof value === 'object' && value !== null ? (value as Record<string, unknown>)[name] : undefined;
 
 /** Creates a tRPC link that sends mutations to one peer over HTTP. The library's own link uses the global fetch, which would load a second HTTP client. */
-export const createCallLink = ({peerAddress, agent, timeoutMs}: CallLinkOptions): TRPCLink<SyncRouter> => () => ({op}) => observable(observer => {
+export const createCallLink = ({peerAddress, agent, getTimeoutMs}: CallLinkOptions): TRPCLink<SyncRouter> => () => ({op}) => observable(observer => {
 	const call = async (): Promise<unknown> => {
 		const response = await sendJson(`http://${peerAddress}/${op.path}`, {
-			method: 'POST', body: JSON.stringify(op.input), agent, timeoutMs,
+			method: 'POST', body: JSON.stringify(op.input), agent, timeoutMs: getTimeoutMs(op.path),
 		});
 		const callResponse = await response.json();
 		if (getField(callResponse, 'error') !== undefined) {
--- a/src/io/gateway/create-sync-router.ts
+++ b/src/io/gateway/create-sync-router.ts
@@ -49,6 +49,6 @@
 		const published = handler.getConfiguration();
 		return published === undefined || published.configuration.version <= input
 			? undefined
-			: {packed: packConfiguration(published.configuration), ageMs: published.ageMs};
+			: {packed: packConfiguration(published.configuration), version: published.configuration.version, ageMs: published.ageMs};
 	}),
 });
--- a/src/io/gateway/decode-published-configuration.test.ts
+++ b/src/io/gateway/decode-published-configuration.test.ts
@@ -42,12 +42,22 @@
 		expect(decodePublishedConfiguration({packed, ageMs: 0}, version)._unsafeUnwrapErr()).toEqual({field: 'version', value: '3', message: `must be above ${version}`});
 	});
 
+	// Guards against checks of a large configuration that has arrived from another peer meanwhile, on an instance that its neighbours wait for.
+	it.each([
+		{answered: 3, active: 3, isUnpacked: false},
+		{answered: 3, active: 2, isUnpacked: true},
+		{answered: undefined, active: 3, isUnpacked: true},
+	])('unpacks version $answered when $active is active by now: $isUnpacked', ({answered, active, isUnpacked}) => {
+		const decoded = decodePublishedConfiguration({packed, ageMs: 0, version: answered}, 2, active);
+		expect(decoded._unsafeUnwrap()?.configuration.version).toBe(isUnpacked ? 3 : undefined);
+	});
+
 	it('never throws, whatever the answer is', () => {
 		fc.assert(fc.property(createJsonMutations({packed, ageMs: 12}), value => {
 			const decoded = decodePublishedConfiguration(value, 2);
 			if (decoded.isOk()) {
-				expect(decoded.value.configuration).toEqual(gatewayConfiguration);
-				expect(decoded.value.ageMs).toBeGreaterThanOrEqual(0);
+				expect(decoded.value?.configuration).toEqual(gatewayConfiguration);
+				expect(decoded.value?.ageMs).toBeGreaterThanOrEqual(0);
 			}
 		}), {seed: 41, numRuns: 2000});
 	});
--- a/src/io/gateway/sync-client-answers.test.ts
+++ b/src/io/gateway/sync-client-answers.test.ts
@@ -71,13 +71,13 @@
 		body = answer;
 		const exchanged = await client.exchange(address, message);
 		expect(exchanged.isErr()).toBe(true);
-		const fetched = await client.fetchConfiguration(address, 0);
+		const fetched = await client.fetchConfiguration(address, () => 0);
 		expect(fetched.isErr()).toBe(true);
 	});
 
 	it('without data is taken for one that has no newer configuration', async () => {
 		body = '{"result":{}}';
-		const fetched = await client.fetchConfiguration(address, 0);
+		const fetched = await client.fetchConfiguration(address, () => 0);
 		expect(fetched._unsafeUnwrap()).toBeUndefined();
 	});
 });
--- a/src/io/gateway/sync-client.test.ts
+++ b/src/io/gateway/sync-client.test.ts
@@ -64,12 +64,12 @@
 		const address = await listen();
 		const exchanged = await client.exchange(address, message);
 		expect(exchanged._unsafeUnwrap()).toEqual({...message, from: 'b'});
-		const unpublished = await client.fetchConfiguration(address, 0);
+		const unpublished = await client.fetchConfiguration(address, () => 0);
 		expect(unpublished._unsafeUnwrap()).toBeUndefined();
 		published = {configuration, ageMs: 12};
-		const fetched = await client.fetchConfiguration(address, 2);
+		const fetched = await client.fetchConfiguration(address, () => 2);
 		expect(fetched._unsafeUnwrap()).toEqual(published);
-		const unchanged = await client.fetchConfiguration(address, 3);
+		const unchanged = await client.fetchConfiguration(address, () => 3);
 		expect(unchanged._unsafeUnwrap()).toBeUndefined();
 		// Transferring a configuration of 1,400 routes takes a fraction (some tenths) of a small instance's link for one second, not all of it.
 		expect(meter.totalBytes).toBeLessThan(100_000);
@@ -84,7 +84,7 @@
 		listener.server.on('request', (...parts) => {
 			setTimeout(handleRequest, 700, ...parts);
 		});
-		const [exchanged, fetched] = await Promise.all([client.exchange(address, message), client.fetchConfiguration(address, 2)]);
+		const [exchanged, fetched] = await Promise.all([client.exchange(address, message), client.fetchConfiguration(address, () => 2)]);
 		expect(exchanged.isErr()).toBe(true);
 		expect(fetched.isOk()).toBe(true);
 	});
--- a/src/io/gateway/sync-client.ts
+++ b/src/io/gateway/sync-client.ts
@@ -8,6 +8,7 @@
 import type {Logger} from '../../common/logger.js';
 import type {Metrics} from '../../common/metrics.js';
 import type {ByteMeter} from './byte-meter.js';
+import {configurationTimeoutMs} from './configuration-timeout-ms.js';
 import {createCallLink} from './create-call-link.js';
 import {decodeEnvelope} from './decode-envelope.js';
 import {decodePublishedConfiguration} from './decode-published-configuration.js';
@@ -15,7 +16,7 @@
 import {MeteredAgent} from './metered-agent.js';
 import type {SyncRouter} from './sync-router.js';
 
-/** Time limit of a call to a peer, in ms; a round trip takes 3 ms, and a small instance under load responds within some tens of ms. */
+/** Time limit of an exchange of messages with a peer, in ms; a round trip takes 3 ms, and a small instance under load responds within some tens of ms. */
 const callTimeoutMs = 400;
 
 const describeFetch = (fetched: Result<PublishedConfiguration | undefined, PeerFailure>): string => {
@@ -36,7 +37,7 @@
 
 /** Calls the procedures of peer instances over keep-alive connections. */
 export class SyncClient implements DisposableLike {
-	/** Time after which a call counts as failed, in ms. */
+	/** Time after which an exchange of messages counts as failed, in ms. */
 	readonly timeoutMs = callTimeoutMs;
 	private readonly _agent: MeteredAgent;
 	private readonly _clients = new Map<string, TRPCClient<SyncRouter>>();
@@ -60,9 +61,14 @@
 		});
 	}
 
-	/** Fetches the configuration that a peer has in force; resolves with undefined when the peer states that it is not newer than `version`. */
-	async fetchConfiguration(peerAddress: string, version: number): Promise<Result<PublishedConfiguration | undefined, PeerFailure>> {
+	/**
+	Fetches the configuration that a peer has in force; resolves with undefined when the peer states that it is not newer than the active one, or when
+	it is not by the time it arrives.
+	@param getActiveVersion - Returns the version that this instance has in force.
+	*/
+	async fetchConfiguration(peerAddress: string, getActiveVersion: () => number): Promise<Result<PublishedConfiguration | undefined, PeerFailure>> {
 		const startedAt = performance.now();
+		const version = getActiveVersion();
 		const result = await fromPromise(
 			this._getClient(peerAddress).configuration.mutate(version),
 			(error): PeerFailure => ({kind: PeerFailureKind.Unreachable, detail: (error as Error).message}),
@@ -70,7 +76,7 @@
 		const answeredAt = performance.now();
 		const decoded = result.andThen((reply: unknown) => reply === undefined
 			? ok(undefined)
-			: decodePublishedConfiguration(reply, version).mapErr(({field, value, message}): PeerFailure => ({kind: PeerFailureKind.Refused, field, detail: `${value}: ${message}`})));
+			: decodePublishedConfiguration(reply, version, getActiveVersion()).mapErr(({field, value, message}): PeerFailure => ({kind: PeerFailureKind.Refused, field, detail: `${value}: ${message}`})));
 		this._metrics.countEvent('configuration.fetches', {result: describeFetch(decoded)});
 		this._metrics.recordDuration('configuration.fetch', answeredAt - startedAt);
 		this._metrics.recordDuration('configuration.check', performance.now() - answeredAt);
@@ -84,7 +90,7 @@
 	private _getClient(peerAddress: string): TRPCClient<SyncRouter> {
 		let client = this._clients.get(peerAddress);
 		if (client === undefined) {
-			client = createTRPCClient<SyncRouter>({links: [createCallLink({peerAddress, agent: this._agent, timeoutMs: this.timeoutMs})]});
+			client = createTRPCClient<SyncRouter>({links: [createCallLink({peerAddress, agent: this._agent, getTimeoutMs: procedure => procedure === 'configuration' ? configurationTimeoutMs : this.timeoutMs})]});
 			this._clients.set(peerAddress, client);
 		}
 
--- a/test/support/in-memory-fleet.ts
+++ b/test/support/in-memory-fleet.ts
@@ -7,6 +7,7 @@
 import {MemberController} from '../../src/controllers/gateway/member-controller.js';
 import {RegistryReader} from '../../src/controllers/gateway/registry-reader.js';
 import {SiteView} from '../../src/controllers/gateway/site-view.js';
+import {configurationTimeoutMs} from '../../src/io/gateway/configuration-timeout-ms.js';
 import {encodeMember} from '../../src/io/gateway/encode-member.js';
 import {packConfiguration} from '../../src/io/gateway/pack-configuration.js';
 import {ScrapedMetrics} from '../../src/io/gateway/scraped-metrics.js';
@@ -25,9 +26,6 @@
 };
 type LoggedLine = {readonly instance: string; readonly event: string; readonly fields: Readonly<Record<string, unknown>>};
 
-/** Time limit of a transfer of the configuration between two instances, in ms. */
-const transferLimitMs = 400;
-
 const waitFor = async (ms: number): Promise<void> => new Promise(resolve => {
 	setTimeout(resolve, ms);
 });
@@ -181,11 +179,11 @@
 	private async _fetchConfiguration(from: string, to: string) {
 		const transferMs = this._options.transferMs?.() ?? 0;
 		if (transferMs > 0) {
-			await waitFor(Math.min(transferMs, transferLimitMs));
+			await waitFor(Math.min(transferMs, configurationTimeoutMs));
 		}
 
 		const peer = this._findReachablePeer(from, to);
-		if (peer === undefined || transferMs > transferLimitMs) {
+		if (peer === undefined || transferMs > configurationTimeoutMs) {
 			return err({kind: PeerFailureKind.Unreachable, detail: 'no response'} as const);
 		}
 
