Read on from the registry while a response arrives

A read was given up 600 ms after it had begun, a watch 600 ms after its wait. The test of sendJson has a case for each end.

--- a/src/io/gateway/send-json.test.ts
+++ b/src/io/gateway/send-json.test.ts
@@ -34,6 +34,43 @@
 		return Promise.race([sent.map(async response => response.json()), sleep(3 * timeoutMs)]);
 	};
 
+	// Guards against a large configuration that never arrives over a slow link, and against a connection that is silent for as long as the largest one takes.
+	it.each([
+		{
+			name: 'keeps arriving', length: 6, pieces: 6, isRead: true, maxMs: 1500,
+		},
+		{
+			name: 'stops arriving', length: 6, pieces: 3, isRead: false, maxMs: 1200,
+		},
+		{
+			name: 'arrives for too long', length: 60, pieces: 60, isRead: false, maxMs: 2500,
+		},
+	])('with a limit of silence, reads a response that $name: $isRead', async ({length, pieces, isRead, maxMs}) => {
+		let timer: NodeJS.Timeout | undefined;
+		server = createServer(socket => {
+			let sentCount = 0;
+			socket.on('error', () => undefined);
+			socket.write(`HTTP/1.1 200 OK\r\nContent-Length: ${length}\r\n\r\n`);
+			timer = setInterval(() => {
+				if (sentCount < pieces) {
+					socket.write('1');
+				}
+
+				sentCount++;
+			}, 100);
+		});
+		await new Promise<void>(resolve => {
+			server.listen(0, '127.0.0.1', resolve);
+		});
+		const startedAt = performance.now();
+		const sent = await fromPromise(sendJson(`http://127.0.0.1:${(server.address() as AddressInfo).port}/`, {
+			method: 'GET', agent, timeoutMs: 1500, silenceMs: 300,
+		}), error => error as Error);
+		clearInterval(timer);
+		expect(sent.isOk()).toBe(isRead);
+		expect(performance.now() - startedAt).toBeLessThan(maxMs);
+	});
+
 	afterEach(() => {
 		server.close();
 	});
--- a/src/io/gateway/send-json.ts
+++ b/src/io/gateway/send-json.ts
@@ -10,6 +10,8 @@
 	readonly agent: Agent;
 	/** Time for the whole exchange, in ms; after it the connection is closed. */
 	readonly timeoutMs: number;
+	/** Time in which nothing arrives after which the connection is closed as well, in ms; for responses that are large on a slow link. */
+	readonly silenceMs?: number;
 };
 
 type JsonResponse = {
@@ -24,9 +26,10 @@
 /** Maximum size of a response body; a page of the registry has at most 1 MB, and a full message of a peer 1 MB. */
 const maxResponseBytes = 8 * 1_048_576;
 
-/** Sends a JSON request and resolves with the buffered response; rejects when the connection fails, or when the time limit or the maximum size is exceeded. */
+/** Sends a JSON request and resolves with the buffered response; rejects when the connection fails, or when a time limit or the maximum size is exceeded. */
 export const sendJson = async (url: string, options: JsonCall): Promise<JsonResponse> => new Promise((resolve, reject) => {
-	const {method, body, agent, timeoutMs} = options;
+	const {method, body, agent, timeoutMs, silenceMs = timeoutMs} = options;
+	const startedAt = performance.now();
 	const headers = body === undefined ? {} : {'content-type': 'application/json', 'content-length': Buffer.byteLength(body)};
 	let hasResponse = false;
 	const request = openRequest(url, {method, agent, headers}, response => {
@@ -42,6 +45,8 @@
 			}
 
 			collector.add(chunk);
+			clearTimeout(timer);
+			timer = scheduleEnd();
 		});
 		response.on('error', error => {
 			clearTimeout(timer);
@@ -58,9 +63,14 @@
 			});
 		});
 	});
-	const timer = setTimeout(() => {
-		request.destroy(new Error(`no response from ${url} within ${timeoutMs} ms`));
-	}, timeoutMs);
+	const scheduleEnd = () => {
+		const leftMs = Math.max(0, Math.min(silenceMs, timeoutMs - (performance.now() - startedAt)));
+		return setTimeout(() => {
+			request.destroy(new Error(`no response from ${url} within ${Math.round(performance.now() - startedAt)} ms`));
+		}, leftMs);
+	};
+
+	let timer = scheduleEnd();
 	request.on('error', error => {
 		clearTimeout(timer);
 		reject(error);
