Spend less processor time on a configuration that is passed on

Each hop adds its check to the time in which a change has to be in force. The count compares numbers now instead of asking a set. An instance passes on the text that it has received and checked, instead of encoding and compressing it again (1.3 to 4 ms and 1.2 to 3.4 ms).

--- a/src/common/parse-bounded-json.ts
+++ b/src/common/parse-bounded-json.ts
@@ -1,6 +1,8 @@
 /** Largest number of values in a JSON text; a list of 4,000 targets has 45,000. Parsed values take a multiple of their text in memory. */
 const maxValues = 125_000;
-const separators = new Set([',', '[', '{'].map(character => character.codePointAt(0)));
+const comma = 0x2C;
+const openingBracket = 0x5B;
+const openingBrace = 0x7B;
 
 /**
 Parses JSON that comes from outside the process.
@@ -9,7 +11,8 @@
 export const parseBoundedJson = (text: string): unknown => {
 	let separatorCount = 0;
 	for (let index = 0; index < text.length; index++) {
-		if (separators.has(text.codePointAt(index))) {
+		const code = text.codePointAt(index);
+		if (code === comma || code === openingBracket || code === openingBrace) {
 			separatorCount++;
 		}
 	}
--- a/src/io/gateway/pack-configuration.ts
+++ b/src/io/gateway/pack-configuration.ts
@@ -1,8 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {deflateRawSync} from 'node:zlib';
 import type {GatewayConfiguration} from '../../common/gateway/gateway-configuration.js';
-
-const packedConfigurations = new WeakMap<GatewayConfiguration, string>();
+import {packedConfigurations} from './packed-configurations.js';
 
 /** Encodes a configuration for the wire: compressed JSON, since names and limits of routes repeat, as base64. The result is cached per configuration object. */
 export const packConfiguration = (configuration: GatewayConfiguration): string => {
--- a/src/io/gateway/unpack-configuration.ts
+++ b/src/io/gateway/unpack-configuration.ts
@@ -8,6 +8,7 @@
 import {gatewayConfigurationSchema} from '../../common/gateway/gateway-configuration-schema.js';
 import type {GatewayConfiguration} from '../../common/gateway/gateway-configuration.js';
 import {parseBoundedJson} from '../../common/parse-bounded-json.js';
+import {packedConfigurations} from './packed-configurations.js';
 
 /** Maximum size of a decompressed configuration; registry values are at most 1 MiB, and this format has longer field names than the registry's. */
 const maxConfigurationBytes = 4 * 1_048_576;
@@ -21,6 +22,7 @@
 export const unpackConfiguration = (text: string): Result<GatewayConfiguration, FieldError> => parsePacked(text).andThen(value => {
 	const checked = gatewayConfigurationSchema.safeParse(value);
 	if (checked.success) {
+		packedConfigurations.set(checked.data, text);
 		return ok(checked.data);
 	}
 
