Tell of a newer configuration before it has arrived

That a version exists travelled only with the version itself, hop by hop, and each hop adds a transfer and a check; no part was late by itself, and nothing bounded the sum. An instance at the end of the spread did not know that it lacked anything, and its last resort, a read for itself, began 2.5 s after the last confirmation, at the end of the time in which a change has to be in force. Now messages tell the newest version that is known to exist, instances pass that on at once, and who lacks it for 0.3 to 0.45 of the allowed time reads it from the registry: the configuration only, not the targets, and also while reads of the targets fail. Confirmations by peers cancel an announcement only after 1 s instead of 0.4 s, since their ages leave out what each busy hop takes.

--- a/src/common/gateway/view-version.ts
+++ b/src/common/gateway/view-version.ts
@@ -4,6 +4,8 @@
 export type ViewVersion = {
 	/** Version of the configuration; 0 while there is none. */
 	readonly configuration: number;
+	/** Newest version of the configuration that is known to exist, where it is not held. Absent otherwise, and in messages of versions that do not pass it on. */
+	readonly newestConfiguration?: number;
 	/** Time since the configuration was last confirmed to be the newest in the registry, in ms. */
 	readonly configurationAgeMs: number;
 	/** Registry revision up to which the list of targets is complete; 0 while there is none. */
--- a/src/controllers/gateway/create-peer-link.ts
+++ b/src/controllers/gateway/create-peer-link.ts
@@ -11,6 +11,7 @@
 	},
 	lastMessageAt: Number.NEGATIVE_INFINITY,
 	announcedConfiguration: 0,
+	announcedNewest: 0,
 	isExchanging: false,
 	failures: 0,
 });
--- a/src/controllers/gateway/member-controller.ts
+++ b/src/controllers/gateway/member-controller.ts
@@ -12,6 +12,7 @@
 import type {Metrics} from '../../common/metrics.js';
 import type {SyncClient} from '../../io/gateway/sync-client.js';
 import {runTask} from '../../io/run-task.js';
+import {getNewestConfiguration} from '../../policy/gateway/get-newest-configuration.js';
 import {pickReaders} from '../../policy/gateway/pick-readers.js';
 import {MemberTable} from '../../policy/gateway/member-table.js';
 import {NeighbourChooser} from '../../policy/gateway/neighbour-chooser.js';
@@ -270,9 +271,12 @@
 		}
 
 		const {view} = this._options;
-		const {configuration, targetsGeneration, targetsAgeMs} = view.version;
+		const {version} = view;
+		const {configuration, targetsGeneration, targetsAgeMs} = version;
 		const peerAgeMs = this._computePeerAgeMs(link);
+		const newest = getNewestConfiguration(version);
 		return (configuration > link.view.configuration && configuration > link.announcedConfiguration)
+			|| (newest > getNewestConfiguration(link.view) && newest > link.announcedNewest)
 			|| view.hasNewerState(link.view)
 			|| (peerAgeMs > targetsAgeMs + minAgeGainMs && (link.view.targetsGeneration ?? 0) === targetsGeneration)
 			|| this._table.listChanges(link.acknowledgedNumber, id).length > 0;
@@ -306,6 +310,7 @@
 			link.failures = 0;
 			link.acknowledgedNumber = Math.max(link.acknowledgedNumber, message.changeNumber);
 			link.announcedConfiguration = Math.max(link.announcedConfiguration, message.view.configuration);
+			link.announcedNewest = Math.max(link.announcedNewest, getNewestConfiguration(message.view));
 			this._applyMessage(exchanged.value);
 			if (this._isBehind(member.id)) {
 				this._scheduleNotification();
--- a/src/controllers/gateway/operator-view.ts
+++ b/src/controllers/gateway/operator-view.ts
@@ -9,6 +9,7 @@
 import type {ViewVersion} from '../../common/gateway/view-version.js';
 import type {Logger} from '../../common/logger.js';
 import {Evacuations} from '../../policy/gateway/evacuations.js';
+import {getNewestConfiguration} from '../../policy/gateway/get-newest-configuration.js';
 import {isNewerEvacuation} from '../../policy/gateway/is-newer-evacuation.js';
 
 type OperatorViewOptions = {
@@ -18,8 +19,8 @@
 	readonly evacuationMs?: number | undefined;
 };
 
-/** Time that a confirmation may take from a peer to this instance, in ms; the age that it states does not include it. */
-const confirmationDelayMs = 400;
+/** Time that a confirmation may take from the reader to this instance, over several busy instances, in ms; the ages that they state do not include it. */
+const confirmationDelayMs = 1000;
 
 const limitAge = (ageMs: number): number => Math.min(Number.MAX_SAFE_INTEGER, Math.round(ageMs));
 
@@ -53,7 +54,7 @@
 		return this._onEvacuations.event;
 	}
 
-	/** Fires when peers may lack what this instance has: with a newer configuration or set of evacuations. */
+	/** Fires when peers may lack what this instance knows: with a newer configuration, the announcement of one, or a newer set of evacuations. */
 	get onChange() {
 		return this._onChange.event;
 	}
@@ -114,8 +115,9 @@
 	}
 
 	/** Versions and ages, as sent to peers. */
-	get version(): Pick<ViewVersion, 'configuration' | 'configurationAgeMs' | 'evacuations'> {
+	get version(): Pick<ViewVersion, 'configuration' | 'newestConfiguration' | 'configurationAgeMs' | 'evacuations'> {
 		return {
+			...(this._lacksAnnounced && {newestConfiguration: this._announcedVersion}),
 			configuration: this._configuration?.version ?? 0,
 			configurationAgeMs: limitAge(this.configurationAgeMs),
 			...(this._evacuations !== undefined && {evacuations: {...this._evacuations.order, ageMs: limitAge(this.evacuationsAgeMs)}}),
@@ -205,7 +207,7 @@
 
 	/** Applies what a peer holds: confirmations, the announcement of a newer configuration, and evacuations that this instance lacks. */
 	offerPeerView({view, evacuations}: Pick<SyncMessage, 'view' | 'evacuations'>): void {
-		this._recordAnnouncedVersion(view.configuration);
+		this._recordAnnouncedVersion(getNewestConfiguration(view));
 		this._confirmConfiguration(view.configuration, view.configurationAgeMs);
 		if (view.evacuations !== undefined) {
 			if (evacuations !== undefined) {
@@ -259,10 +261,15 @@
 
 		if (this._lacksAnnounced) {
 			// The lag counts from the first version that is missing; later announcements must not reset it, since each of them may be missed as well.
-			this._announcedVersion = Math.max(this._announcedVersion, version);
+			if (version > this._announcedVersion) {
+				this._announcedVersion = version;
+				this._onChange.fire(true);
+			}
 		} else if (version !== this._announcedVersion) {
 			this._announcedAt = this._options.clock.now();
 			this._announcedVersion = version;
+			// Peers learn of it before this instance has it, which may take long.
+			this._onChange.fire(true);
 			this._options.logger.logInfo('configuration-announced', {version, activeVersion: currentVersion, ageMs: limitAge(this.configurationAgeMs)});
 		}
 	}
--- a/src/controllers/gateway/peer-link.ts
+++ b/src/controllers/gateway/peer-link.ts
@@ -14,8 +14,10 @@
 	view: ViewVersion;
 	/** Time of the peer's last message, in ms; negative infinity before the first one. */
 	lastMessageAt: number;
-	/** Newest version of the configuration that the peer was told of; 0 for none. */
+	/** Newest version of the configuration that the peer was told this instance holds; 0 for none. */
 	announcedConfiguration: number;
+	/** Newest version of the configuration that the peer was told exists; 0 for none. */
+	announcedNewest: number;
 	isExchanging: boolean;
 	/** Consecutive failed exchanges. */
 	failures: number;
--- a/src/controllers/gateway/registry-reader-rules.test.ts
+++ b/src/controllers/gateway/registry-reader-rules.test.ts
@@ -114,6 +114,21 @@
 		expect(reader.checkReading()).toBe(expected);
 	});
 
+	// Guards against all instances that read targets at the crest of the load since a configuration spreads slowly.
+	it('does not read the targets because an announced configuration is missing', () => {
+		const {reader, time, updateView, view} = createReader({});
+		time.now = 10_000;
+		updateView(0, 0);
+		view.offerPeerView({
+			view: {
+				configuration: 2, configurationAgeMs: 0, targets: 1, targetsAgeMs: 0,
+			},
+		});
+		time.now += 1200;
+		expect(view.configurationLagMs).toBe(1200);
+		expect(reader.checkReading()).toBe(false);
+	});
+
 	it('keeps reading for 4 s after its view was too old, although the view is fresh again', () => {
 		const {reader, time, updateView} = createReader({});
 		time.now = 10_000;
--- a/src/controllers/gateway/registry-reader.ts
+++ b/src/controllers/gateway/registry-reader.ts
@@ -48,8 +48,10 @@
 reader does once a second. It may exceed 1: peers announce a change at once, so an old confirmation seldom means a missed one.
 */
 const configurationAgeShare = 1.25;
-/** Time after which an announced configuration that has not arrived is read, as a fraction of the time within which it has to be active. */
-const configurationLagShare = 0.25;
+/** Time after which an announced configuration that has not arrived is read, as a fraction of the time within which it has to be active; the read takes up to a second. */
+const configurationLagShare = 0.3;
+/** Largest random addition to that fraction, so that a few instances read first and pass it on to the rest. */
+const configurationLagJitter = 0.15;
 /** Time for which an instance whose view has become too old reads for itself, in ms. It goes on although its own reads make the view fresh, which does not show that peers send it in time again. */
 const fallbackReadMs = 4000;
 /** Time in which instances that start together discover each other, in ms. With less, several would read the registry; with much more, the view would be incomplete when callers arrive, 10 s after the first start. */
@@ -87,6 +89,8 @@
 	private readonly _readsWithoutPeersAt: number;
 	/** Age of the list of targets above which this instance reads it, unless it is a standby reader, in ms. */
 	private readonly _ageLimitMs: number;
+	/** Time for which an announced configuration may be missing before this instance reads it, in ms. */
+	private readonly _lagLimitMs: number;
 	private readonly _revisions: RevisionChecker;
 	private readonly _operatorReader: OperatorReader;
 	private _failures = 0;
@@ -94,17 +98,19 @@
 	private _fallbackUntil = Number.NEGATIVE_INFINITY;
 
 	constructor(private readonly _options: RegistryReaderOptions) {
-		const {clock, random, targetChangeMs} = _options;
+		const {clock, random, targetChangeMs, configurationChangeMs} = _options;
 		this._readsWithoutPeersAt = clock.now() + peerSyncMs + (peerSyncJitterMs * random());
 		this._revisions = new RevisionChecker(_options);
 		this._operatorReader = new OperatorReader({
 			..._options,
 			signal: this._abortController.signal,
-			hasFailures: () => this._failures > 0,
-			checkReading: () => this.checkReading(),
+			// Other instances have read what is announced, so failed reads of the targets do not show that it cannot be read.
+			hasFailures: () => this._failures > 0 && !this._lacksAnnouncedConfiguration,
+			checkReading: () => this.checkReading() || this._lacksAnnouncedConfiguration,
 			pause: async ms => this._pause(ms),
 		});
 		this._ageLimitMs = targetChangeMs * (otherAgeShare + (otherAgeJitter * random()));
+		this._lagLimitMs = configurationChangeMs * (configurationLagShare + (configurationLagJitter * random()));
 	}
 
 	/** Runs the reads of targets and configuration, and resolves after the disposal. */
@@ -140,14 +146,19 @@
 
 		const ageLimitMs = isStandbyReader() ? targetChangeMs * standbyAgeShare : this._ageLimitMs;
 		const operatorAgeMs = Math.max(view.configurationAgeMs, view.operator.evacuationsAgeMs);
-		const isConfigurationOld = operatorAgeMs > configurationChangeMs * configurationAgeShare || view.configurationLagMs > configurationChangeMs * configurationLagShare;
-		if (view.targetsAgeMs > ageLimitMs || isConfigurationOld) {
+		if (view.targetsAgeMs > ageLimitMs || operatorAgeMs > configurationChangeMs * configurationAgeShare) {
 			this._fallbackUntil = now + fallbackReadMs;
 		}
 
 		return isReader() || now < this._fallbackUntil;
 	}
 
+	/** Whether an announced configuration has been missing for so long that this instance reads it, and only it. */
+	private get _lacksAnnouncedConfiguration(): boolean {
+		const {view} = this._options;
+		return view.isComplete && view.configurationLagMs > this._lagLimitMs;
+	}
+
 	/** Runs a loop until the disposal, and again after a pause when an exception has ended it. */
 	private async _runLoop(task: string, run: () => Promise<void>): Promise<void> {
 		while (!(await runTask(this._options, task, run))) {
--- a/src/io/gateway/decode-envelope.ts
+++ b/src/io/gateway/decode-envelope.ts
@@ -65,7 +65,7 @@
 
 const isView = (view: unknown): view is ViewVersion =>
 	isObject(view) && isCount(view.configuration) && isAmount(view.configurationAgeMs) && isCount(view.targets) && isAmount(view.targetsAgeMs)
-	&& (view.targetsGeneration === undefined || isCount(view.targetsGeneration));
+	&& (view.targetsGeneration === undefined || isCount(view.targetsGeneration)) && (view.newestConfiguration === undefined || isCount(view.newestConfiguration));
 
 /**
 Decodes a message of a peer and never throws. Invalid members are left out; so is the whole list of targets when one of them is invalid, since
