Read an announced configuration earlier when its age is high

An announcement that comes long after the last confirmation comes from a fleet that had lost its reader: the change may be older than the announcement by that time, which was left out of the time after which an instance reads for itself. Now the time counts from a second after the last confirmation as well.

--- a/src/controllers/gateway/registry-reader.ts
+++ b/src/controllers/gateway/registry-reader.ts
@@ -52,6 +52,8 @@
 const configurationLagShare = 0.3;
 /** Largest random addition to that fraction, so that a few instances read first and pass it on to the rest. */
 const configurationLagJitter = 0.15;
+/** Time in which the reader confirms a configuration that has not changed, in ms. An announced one that was published just after the last confirmation is older than its announcement by more when the reader was lost. */
+const confirmationIntervalMs = 1000;
 /** Time for which an instance whose view has become too old reads for itself, in ms. It goes on although its own reads make the view fresh, which does not show that peers send it in time again. */
 const fallbackReadMs = 4000;
 /** Time in which instances that start together discover each other, in ms. With less, several would read the registry; with much more, the view would be incomplete when callers arrive, 10 s after the first start. */
@@ -156,7 +158,8 @@
 	/** Whether an announced configuration has been missing for so long that this instance reads it, and only it. */
 	private get _lacksAnnouncedConfiguration(): boolean {
 		const {view} = this._options;
-		return view.isComplete && view.configurationLagMs > this._lagLimitMs;
+		const lagMs = view.configurationLagMs;
+		return view.isComplete && (lagMs > this._lagLimitMs || (lagMs > 0 && view.configurationAgeMs > this._lagLimitMs + confirmationIntervalMs));
 	}
 
 	/** Runs a loop until the disposal, and again after a pause when an exception has ended it. */
