--- a/src/common/parse-bounded-json.ts
+++ b/src/common/parse-bounded-json.ts
@@ -1,8 +1,16 @@
 /** Largest number of values in a JSON text; a list of 4,000 targets has 45,000. Parsed values take a multiple of their text in memory. */
 const maxValues = 125_000;
-const comma = 0x2C;
-const openingBracket = 0x5B;
-const openingBrace = 0x7B;
+/** Characters that precede a value: each value but the first of a list or an object follows a comma. */
+const separators = [',', '[', '{'];
+
+const countOccurrences = (text: string, character: string): number => {
+	let count = 0;
+	for (let index = text.indexOf(character); index !== -1; index = text.indexOf(character, index + 1)) {
+		count++;
+	}
+
+	return count;
+};
 
 /**
 Parses JSON that comes from outside the process.
@@ -10,11 +18,8 @@
 */
 export const parseBoundedJson = (text: string): unknown => {
 	let separatorCount = 0;
-	for (let index = 0; index < text.length; index++) {
-		const code = text.codePointAt(index);
-		if (code === comma || code === openingBracket || code === openingBrace) {
-			separatorCount++;
-		}
+	for (const separator of separators) {
+		separatorCount += countOccurrences(text, separator);
 	}
 
 	if (separatorCount > maxValues) {
