--- a/src/controllers/gateway/configuration-fetcher.ts
+++ b/src/controllers/gateway/configuration-fetcher.ts
@@ -20,11 +20,11 @@
 	readonly listHolders: (version: number) => readonly ConfigurationHolder[];
 };
 
-/** Transfers that may run at the same time; another peer is asked when the first is slow. */
-const maxConcurrentFetches = 2;
+/** Transfers that may run at the same time; another peer is asked when those in progress are slow. With two, peers that are silent could take all until the time limit of a transfer. */
+const maxConcurrentFetches = 3;
 /** Time after which a transfer counts as slow, in ms; it may still succeed. */
 const slowFetchMs = 400;
-/** Time for which a peer that could not be reached is asked only after all others, and not again itself, in ms. */
+/** Time for which a peer that could not be reached is not asked again, in ms. */
 const retryPauseMs = 300;
 /** Lines logged per second for configurations that are refused. */
 const refusalLinesPerSecond = 5;
