Test what is passed on of a newer configuration that is not held

That an instance passes on an announced version once, until it has it or the registry has shown that there is none, and that invalid versions are refused.

--- a/src/controllers/gateway/site-view.test.ts
+++ b/src/controllers/gateway/site-view.test.ts
@@ -75,6 +75,34 @@
 		expect(view.configurationLagMs).toBe(lagMs);
 	});
 
+	// Guards against news that no instance passes on before it has the configuration, and against a version that does not exist and is passed on without end.
+	it('passes on that a newer configuration exists until it has it or the registry has shown that there is none', () => {
+		const view = new SiteView({clock: {now: () => 0}, logger: silentLogger});
+		const offer = (version: number) => {
+			view.offerConfiguration({
+				version, routes: [], services: [], limits: {
+					headerBytes: 1, bodyBytes: 1, headersTimeoutMs: 1, idleTimeoutMs: 1,
+				},
+			}, 0);
+		};
+
+		const passedOn: Array<number | undefined> = [];
+		view.onVersionChange(({newestConfiguration}) => {
+			passedOn.push(newestConfiguration);
+		});
+		offer(3);
+		view.offerPeerView({view: {...createPeerView(3), newestConfiguration: 5}});
+		view.offerPeerView({view: {...createPeerView(3), newestConfiguration: 5}});
+		view.offerPeerView({view: createPeerView(6)});
+		expect(passedOn).toEqual([undefined, 5, 6]);
+		offer(6);
+		expect(view.version.newestConfiguration).toBeUndefined();
+		view.offerPeerView({view: {...createPeerView(6), newestConfiguration: 9}});
+		expect(view.version.newestConfiguration).toBe(9);
+		view.confirmConfiguration(6, -1);
+		expect(view.version.newestConfiguration).toBeUndefined();
+	});
+
 	// Guards against requests to a leaving target whose older record the registry writes late.
 	it.each([
 		['ready again for the same start', {startedAt: 1}, true],
--- a/src/io/gateway/decode-envelope.test.ts
+++ b/src/io/gateway/decode-envelope.test.ts
@@ -73,7 +73,10 @@
 		['a text', {targetsGeneration: '1'}, false],
 		['a negative number', {targetsGeneration: -1}, false],
 		['a number without an end', {targetsGeneration: 1e300}, false],
-	])('checks the generation of the list: %s', (_name, fields, isTaken) => {
+		['a newest configuration that is a whole number', {newestConfiguration: 4}, true],
+		['a newest configuration that is a text', {newestConfiguration: '4'}, false],
+		['a newest configuration that is negative', {newestConfiguration: -1}, false],
+	])('checks optional versions: %s', (_name, fields, isTaken) => {
 		expect(decodeEnvelope({...envelope, view: {...envelope.view, ...fields}}).isOk()).toBe(isTaken);
 	});
 
