--- a/src/controllers/gateway/configuration-spread.test.ts
+++ b/src/controllers/gateway/configuration-spread.test.ts
@@ -121,7 +121,7 @@
 			name: 'while nothing else happens', minMs: 250, maxMs: 390, hasRestarts: false,
 		},
 		{
-			name: 'of which some transfers take longer than a message may', minMs: 250, maxMs: 650, hasRestarts: false,
+			name: 'some longer than a message may take', minMs: 250, maxMs: 650, hasRestarts: false,
 		},
 		{
 			name: 'during overlapping restarts', minMs: 250, maxMs: 650, hasRestarts: true,
@@ -130,7 +130,7 @@
 			name: 'and another change during them', minMs: 250, maxMs: 650, hasRestarts: false, nextChangeMs: 300,
 		},
 		{
-			name: 'and a reader that stops with the change', minMs: 250, maxMs: 390, hasRestarts: false, stopsReader: true,
+			name: 'and a reader that stops with it', minMs: 250, maxMs: 390, hasRestarts: false, stopsReader: true,
 		},
 	])('is in force in time on all instances that keep running, with slow transfers $name', async ({minMs, maxMs, hasRestarts, nextChangeMs = 0, stopsReader = false}) => {
 		fleet = new InMemoryFleet({
