--- a/src/controllers/gateway/configuration-fetcher.ts
+++ b/src/controllers/gateway/configuration-fetcher.ts
@@ -107,7 +107,7 @@
 				logger.logInfo('configuration-fetch-failed', {
 					peer: id, version: announcedVersion, error: fetched.error.detail, tookMs: Math.round(clock.now() - startedAt),
 				});
-				this._chooser.postpone(holder, clock.now() + retryPauseMs);
+				this._chooser.excludeUntil(holder, clock.now() + retryPauseMs);
 				this._scheduleCheck(retryPauseMs);
 				this.fetchNewer();
 				break;
--- a/src/policy/gateway/holder-chooser.test.ts
+++ b/src/policy/gateway/holder-chooser.test.ts
@@ -41,7 +41,7 @@
 		{now: 300, chosen: [first, first]},
 	])('asks a holder that could not be reached only after the others, and not before its time, at $now ms', ({now, chosen}) => {
 		const chooser = new HolderChooser();
-		chooser.postpone(first, 300);
+		chooser.excludeUntil(first, 300);
 		expect([[first, second], [first]].map(holders => chooser.chooseHolder(holders, nobody, now))).toEqual(chosen);
 	});
 
--- a/src/policy/gateway/holder-chooser.ts
+++ b/src/policy/gateway/holder-chooser.ts
@@ -7,7 +7,7 @@
 export class HolderChooser {
 	private _refused: readonly ConfigurationHolder[] = [];
 	/** Times from which instances that could not be reached may be asked again, by id, in ms. */
-	private readonly _postponedUntil = new Map<string, number>();
+	private readonly _excludedUntil = new Map<string, number>();
 
 	/**
 	Chooses the first holder that may be asked; undefined when there is none.
@@ -16,13 +16,13 @@
 	*/
 	chooseHolder(holders: readonly ConfigurationHolder[], asked: ReadonlySet<string>, now: number): ConfigurationHolder | undefined {
 		this._refused = this._refused.filter(refused => holders.some(holder => this._isSameAnnouncement(holder, refused)));
-		for (const [id, until] of this._postponedUntil) {
+		for (const [id, until] of this._excludedUntil) {
 			if (now >= until) {
-				this._postponedUntil.delete(id);
+				this._excludedUntil.delete(id);
 			}
 		}
 
-		return holders.find(holder => !asked.has(holder.id) && !this._postponedUntil.has(holder.id) && !this._refused.some(refused => this._isSameAnnouncement(holder, refused)));
+		return holders.find(holder => !asked.has(holder.id) && !this._excludedUntil.has(holder.id) && !this._refused.some(refused => this._isSameAnnouncement(holder, refused)));
 	}
 
 	/** Records that what a holder gave as its announced configuration was refused. */
@@ -31,8 +31,8 @@
 	}
 
 	/** Records that a holder could not be reached and is not asked again before a time, in ms. */
-	postpone({id}: ConfigurationHolder, until: number): void {
-		this._postponedUntil.set(id, until);
+	excludeUntil({id}: ConfigurationHolder, until: number): void {
+		this._excludedUntil.set(id, until);
 	}
 
 	private _isSameAnnouncement(a: ConfigurationHolder, b: ConfigurationHolder): boolean {
